Add the gateway: entry path on the platform's store, with its adapter and deploy files

Change: packages/gateway decides and recovers from beats between instances and a few readers of the store; platform/ translates.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,7 +4,7 @@
     { ignores: ["**/dist/**", "**/node_modules/**"] },
     ...tseslint.configs.recommended,
     {
-        files: ["packages/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts"],
         rules: {
             "curly": ["error", "all"],
             "eqeqeq": "error",
--- a/packages/core/src/lib/pipeline/refusals.ts
+++ b/packages/core/src/lib/pipeline/refusals.ts
@@ -128,6 +128,11 @@
         title: "Request crashed two upstreams",
         remedy: "Do not send it again unchanged; ask the operator to lift the quarantine if it is harmless.",
     },
+    "crash-suspect": {
+        status: 503,
+        title: "Request is suspected of crashing upstreams",
+        remedy: "Do not send it again unchanged; if it is harmless, retry after the stated time.",
+    },
     "upstream-failed": {
         status: 502,
         title: "Upstream gave no whole answer",
--- /dev/null
+++ b/packages/gateway/src/lib/fleet/roster.ts
@@ -0,0 +1,67 @@
+/** The instances that this one hears. */
+import type { Clock } from "@sniperoad/core";
+import type { Beat } from "./beat.js";
+
+/** Silence after which an instance counts as down: four beats and some delay. */
+export const downAfterMs = 1_700;
+/** Silence after which an instance is forgotten; a partition shorter than this heals without help. */
+const forgetAfterMs = 60_000;
+
+/** Another instance, by its last beat. */
+export interface Member {
+    readonly beat: Beat;
+    /** Monotonic time of the last beat. */
+    readonly heardMs: number;
+}
+
+/**
+ * Keeps the last beat of each other instance.
+ *
+ * @example
+ * roster.note(beat);
+ * roster.live().map(member => member.beat.callerAddress);
+ */
+export class Roster {
+    readonly #clock: Clock;
+    /** By peer address: a restarted process takes the place of the former one. */
+    readonly #members = new Map<string, Member>();
+
+    constructor(clock: Clock) {
+        this.#clock = clock;
+    }
+
+    note(beat: Beat): void {
+        this.#members.set(beat.peerAddress, { beat, heardMs: this.#clock.monotonicMs() });
+    }
+
+    get(peerAddress: string): Member | undefined {
+        return this.#members.get(peerAddress);
+    }
+
+    /** Instances that are heard, leaving ones included. */
+    live(): readonly Member[] {
+        const nowMs = this.#clock.monotonicMs();
+        return [...this.#members.values()].filter(member => nowMs - member.heardMs <= downAfterMs);
+    }
+
+    /** All instances that are not forgotten, heard or not. */
+    known(): readonly Member[] {
+        return [...this.#members.values()];
+    }
+
+    isHeard(peerAddress: string): boolean {
+        const member = this.#members.get(peerAddress);
+        return member !== undefined && this.#clock.monotonicMs() - member.heardMs <= downAfterMs;
+    }
+
+    /** Forgets instances that have been silent for a minute, and those that left. */
+    expire(): void {
+        const nowMs = this.#clock.monotonicMs();
+        for (const [address, { beat, heardMs }] of this.#members) {
+            const silenceMs = nowMs - heardMs;
+            if (silenceMs > forgetAfterMs || beat.isLeaving && silenceMs > downAfterMs) {
+                this.#members.delete(address);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/fleet/udp-datagrams.ts
@@ -0,0 +1,76 @@
+/** Datagrams over UDP. */
+import type { LogPort } from "@sniperoad/core";
+import { splitAddress } from "@sniperoad/daemon";
+import { createSocket } from "node:dgram";
+import type { Socket } from "node:dgram";
+import { reasonOf } from "../errors.js";
+import { decodeDatagram, encodeDatagram } from "./datagrams.js";
+import type { Datagram } from "./datagrams.js";
+import type { DatagramPort } from "./ports.js";
+
+/**
+ * Sends and receives datagrams on one address.
+ *
+ * @example
+ * const datagrams = await UdpDatagrams.open("10.0.0.5:7000", log);
+ * datagrams.onReceive(handle);
+ */
+export class UdpDatagrams implements DatagramPort {
+    readonly #socket: Socket;
+    readonly #log: LogPort;
+    #listener: (datagram: Datagram) => void = () => {};
+    /** Bytes sent since the start. */
+    sentBytes = 0;
+
+    private constructor(socket: Socket, log: LogPort) {
+        this.#socket = socket;
+        this.#log = log;
+        socket.on("message", bytes => this.#receive(bytes));
+        socket.on("error", error => log.event("datagram-socket-failed", { reason: reasonOf(error) }));
+    }
+
+    /** @throws Error when the address is in use. */
+    static open(address: string, log: LogPort): Promise<UdpDatagrams> {
+        const { host, port } = splitAddress(address);
+        const socket = createSocket("udp4");
+        return new Promise((resolve, reject) => {
+            socket.once("error", reject);
+            socket.bind(port, host, () => {
+                socket.off("error", reject);
+                resolve(new UdpDatagrams(socket, log));
+            });
+        });
+    }
+
+    onReceive(listener: (datagram: Datagram) => void): void {
+        this.#listener = listener;
+    }
+
+    send(peerAddress: string, datagram: Datagram): void {
+        this.sendAll([peerAddress], datagram);
+    }
+
+    sendAll(peerAddresses: readonly string[], datagram: Datagram): void {
+        const bytes = encodeDatagram(datagram);
+        for (const peerAddress of peerAddresses) {
+            const { host, port } = splitAddress(peerAddress);
+            this.sentBytes += bytes.length;
+            // A datagram that cannot be sent counts as lost; the protocol repeats what matters.
+            this.#socket.send(bytes, port, host, () => {});
+        }
+    }
+
+    close(): void {
+        this.#socket.close();
+    }
+
+    #receive(bytes: Uint8Array): void {
+        try {
+            this.#listener(decodeDatagram(bytes));
+        }
+        catch (error) {
+            this.#log.event("datagram-rejected", { reason: reasonOf(error), sizeBytes: bytes.length });
+        }
+    }
+}
+
--- /dev/null
+++ b/packages/gateway/src/lib/health/shared-outcomes.ts
@@ -0,0 +1,78 @@
+/** Outcomes of requests, shared between instances. */
+import type { Clock, UpstreamId } from "@sniperoad/core";
+import type { Beat, ReportedOutcome } from "../fleet/beat.js";
+import type { GrayFilter } from "./gray-filter.js";
+
+/** A failure is repeated in beats for this long, so that a lost beat loses none. */
+const repeatFailureMs = 700;
+
+interface OwnOutcome extends ReportedOutcome {
+    readonly atMs: number;
+    wasReported: boolean;
+}
+
+/** What {@link SharedOutcomes} needs. */
+export interface SharedOutcomesOptions {
+    readonly clock: Clock;
+    readonly gray: GrayFilter;
+    /** Sends a beat at once. */
+    readonly announce: () => void;
+}
+
+/**
+ * Feeds the outcomes of all instances to the gray filter. An answer of the upstream itself proves its state whoever
+ * saw it, so a failure counts in the whole fleet within milliseconds.
+ *
+ * @example
+ * outcomes.note(upstream, false);
+ */
+export class SharedOutcomes {
+    readonly #options: SharedOutcomesOptions;
+    #sequence = 0;
+    #own: OwnOutcome[] = [];
+
+    constructor(options: SharedOutcomesOptions) {
+        this.#options = options;
+    }
+
+    /** Takes an outcome of this instance. */
+    note(upstream: UpstreamId, isSuccess: boolean): void {
+        const { clock, announce } = this.#options;
+        this.#apply({ upstream, isSuccess });
+        this.#own.push({
+            sequence: ++this.#sequence,
+            upstream,
+            isSuccess,
+            atMs: clock.monotonicMs(),
+            wasReported: false,
+        });
+        if (!isSuccess) {
+            announce();
+        }
+    }
+
+    /** What a beat reports: successes once, failures for a while. */
+    report(): ReportedOutcome[] {
+        const sinceMs = this.#options.clock.monotonicMs() - repeatFailureMs;
+        this.#own = this.#own.filter(({ isSuccess, atMs, wasReported }) =>
+            !wasReported || !isSuccess && atMs >= sinceMs
+        );
+        this.#own.forEach(outcome => outcome.wasReported = true);
+        return this.#own.map(({ sequence, upstream, isSuccess }) => ({ sequence, upstream, isSuccess }));
+    }
+
+    /** Takes the outcomes of another instance that its former beat did not have. */
+    noteBeat(beat: Beat, former: Beat | undefined): void {
+        const known = Math.max(0, ...(former?.outcomes ?? []).map(({ sequence }) => sequence));
+        beat.outcomes.filter(({ sequence }) => sequence > known).forEach(outcome => this.#apply(outcome));
+    }
+
+    #apply({ upstream, isSuccess }: Pick<ReportedOutcome, "upstream" | "isSuccess">): void {
+        if (isSuccess) {
+            this.#options.gray.noteSuccess(upstream);
+        }
+        else {
+            this.#options.gray.noteFailure(upstream);
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/http/front-server.ts
@@ -0,0 +1,190 @@
+/** The HTTP server for callers. */
+import { serve } from "@hono/node-server";
+import type { HttpBindings } from "@hono/node-server";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import type { Answer, Clock, Headers as HeaderList, LogPort } from "@sniperoad/core";
+import { splitAddress } from "@sniperoad/daemon";
+import { Hono } from "hono";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { reasonOf } from "../errors.js";
+import type { CallerLimits } from "../model.js";
+import type { HeaderDialect } from "../request/ports.js";
+import type { ReceivedRequest } from "../request/request-handler.js";
+
+/** Limits before there is a configuration, of the size that proxies commonly have. */
+export const defaultCallerLimits: CallerLimits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_048_576,
+    headerTimeoutMs: 5_000,
+    idleTimeoutMs: 15_000,
+};
+/** Header size that the parser accepts; the configured limit is checked afterwards, since it may change. */
+const parserHeaderBytes = 131_072;
+/** How often the parser looks for callers that exceed the header timeout. */
+const timeoutCheckMs = 500;
+
+/** What {@link FrontServer} needs. */
+export interface FrontServerOptions {
+    readonly clock: Clock;
+    readonly log: LogPort;
+    readonly address: string;
+    readonly dialect: Pick<HeaderDialect, "decodeRequest">;
+    readonly limits: () => CallerLimits;
+    readonly handle: (received: ReceivedRequest) => Promise<Answer | undefined>;
+    /** Whether answers tell callers to use another instance from now on. */
+    readonly isLeaving: () => boolean;
+}
+
+/**
+ * Reads requests of callers whole, has them handled, and writes the answers.
+ *
+ * @example
+ * const server = await FrontServer.open(options);
+ * await server.close();
+ */
+export class FrontServer {
+    readonly #options: FrontServerOptions;
+    readonly #server: Server;
+    readonly #busy = new Set<Socket>();
+
+    private constructor(options: FrontServerOptions, started: (server: FrontServer) => void) {
+        this.#options = options;
+        const app = new Hono<{ Bindings: HttpBindings; }>();
+        app.all("*", async ({ env }) => {
+            await this.#serve(env.incoming, env.outgoing);
+            return RESPONSE_ALREADY_SENT;
+        });
+        const { host, port } = splitAddress(options.address);
+        this.#server = serve({
+            fetch: app.fetch,
+            hostname: host,
+            port,
+            overrideGlobalObjects: false,
+            serverOptions: {
+                maxHeaderSize: parserHeaderBytes,
+                connectionsCheckingInterval: timeoutCheckMs,
+                requestTimeout: 0,
+                noDelay: true,
+            },
+        }, () => started(this)) as Server;
+        this.applyLimits();
+    }
+
+    /** @throws Error when the address is in use. */
+    static open(options: FrontServerOptions): Promise<FrontServer> {
+        return new Promise((resolve, reject) => {
+            const server = new FrontServer(options, resolve);
+            server.#server.once("error", reject);
+        });
+    }
+
+    /** Requests that are being handled. */
+    get busyCount(): number {
+        return this.#busy.size;
+    }
+
+    /** Puts changed limits in force. */
+    applyLimits(): void {
+        const { headerTimeoutMs, idleTimeoutMs } = this.#options.limits();
+        this.#server.headersTimeout = headerTimeoutMs;
+        this.#server.keepAliveTimeout = idleTimeoutMs;
+    }
+
+    /** Accepts no new connections, closes idle ones and resolves once the requests have ended. */
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.#server.close(() => resolve());
+            this.#server.closeIdleConnections();
+        });
+    }
+
+    async #serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+        const { clock, dialect, limits, handle, log } = this.#options;
+        const receivedMs = clock.monotonicMs();
+        const gone = new AbortController();
+        outgoing.on("close", () => {
+            this.#busy.delete(incoming.socket);
+            if (!outgoing.writableFinished) {
+                gone.abort();
+            }
+        });
+        this.#busy.add(incoming.socket);
+        const headers = headerList(incoming.rawHeaders);
+        if (headerBytes(headers) > limits().maxHeaderBytes) {
+            this.#write(outgoing, { status: 431, headers: [], body: new Uint8Array(0) }, true);
+            return;
+        }
+        try {
+            const body = await readBody(incoming, limits().maxBodyBytes);
+            const request = dialect.decodeRequest(incoming.method ?? "GET", incoming.url ?? "/", headers);
+            const answer = await handle({ request, body, receivedMs, signal: gone.signal });
+            if (answer !== undefined && !gone.signal.aborted) {
+                this.#write(outgoing, answer, body === undefined);
+            }
+        }
+        catch (error) {
+            if (!gone.signal.aborted) {
+                log.event("request-failed", { reason: reasonOf(error) });
+            }
+            outgoing.destroy();
+        }
+    }
+
+    #write(outgoing: ServerResponse, answer: Answer, mustClose: boolean): void {
+        const headers = answer.headers.filter(([name]) => !connectionHeaders.has(name));
+        const hasBody = !bodilessStatuses.has(answer.status);
+        const length: [string, string][] = hasBody ? [["content-length", String(answer.body.length)]] : [];
+        const last: [string, string][] = mustClose || this.#options.isLeaving() ? [["connection", "close"]] : [];
+        outgoing.writeHead(answer.status, [...headers, ...length, ...last].flat());
+        outgoing.end(hasBody ? answer.body : undefined);
+    }
+}
+
+/** Fields that concern one connection or the framing of one message. */
+const connectionHeaders = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "transfer-encoding",
+    "content-length",
+    "upgrade",
+    "trailer",
+    "te",
+]);
+/** Statuses whose answers have no body. */
+const bodilessStatuses = new Set([204, 304]);
+
+const headerList = (raw: readonly string[]): HeaderList => {
+    const list: [string, string][] = [];
+    for (let index = 0; index + 1 < raw.length; index += 2) {
+        list.push([raw[index]!.toLowerCase(), raw[index + 1]!]);
+    }
+    return list;
+};
+
+/** Size of the header as sent: each field has ": " and a line end. */
+const headerBytes = (headers: HeaderList): number =>
+    headers.reduce((sum, [name, value]) => sum + name.length + value.length + 4, 0);
+
+/** The whole body; undefined when it is larger than the limit. */
+const readBody = async (incoming: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> => {
+    if (incoming.headers["content-length"] === undefined && incoming.headers["transfer-encoding"] === undefined) {
+        return emptyBody;
+    }
+    if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
+        return undefined;
+    }
+    const parts: Buffer[] = [];
+    let sizeBytes = 0;
+    for await (const part of incoming as AsyncIterable<Buffer>) {
+        sizeBytes += part.length;
+        if (sizeBytes > maxBytes) {
+            return undefined;
+        }
+        parts.push(part);
+    }
+    return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
+};
+
+const emptyBody = new Uint8Array(0);
--- /dev/null
+++ b/packages/gateway/src/lib/http/side-servers.ts
@@ -0,0 +1,39 @@
+/** The HTTP servers for the directory, the readiness check and the metrics. */
+import { serve } from "@hono/node-server";
+import { splitAddress } from "@sniperoad/daemon";
+import { Hono } from "hono";
+import type { Server } from "node:http";
+
+/** A path and its handler. */
+export interface SideRoute {
+    readonly path: string;
+    readonly answer: (query: URLSearchParams) => Response | Promise<Response>;
+}
+
+/** A listening server. */
+export interface SideServer {
+    close(): void;
+}
+
+/**
+ * Serves a few `GET` paths on an address.
+ *
+ * @throws Error when the address is in use
+ * @example
+ * const server = await openSideServer("10.0.0.5:8081", [{ path: "/ready", answer: () => new Response("ok") }]);
+ */
+export const openSideServer = (address: string, routes: readonly SideRoute[]): Promise<SideServer> => {
+    const app = new Hono();
+    routes.forEach(({ path, answer }) => app.get(path, context => answer(new URL(context.req.url).searchParams)));
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+        const server = serve({ fetch: app.fetch, hostname: host, port, overrideGlobalObjects: false }, () =>
+            resolve({
+                close: () => {
+                    server.close();
+                    (server as Server).closeAllConnections();
+                },
+            }));
+        server.once("error", reject);
+    });
+};
--- /dev/null
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -0,0 +1,85 @@
+/** Counters and histograms of an instance, served as text. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Bounds of the latency buckets in seconds, around the target latencies of 0.25 to 0.8 s. */
+const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 4];
+
+/** Gauges that are read when the metrics are served. */
+export interface GaugeSources {
+    readonly configVersion: () => number;
+    readonly upstreams: () => number;
+    readonly instancesHeard: () => number;
+    readonly isReady: () => boolean;
+    readonly inFlight: () => number;
+    readonly droppedLogLines: () => number;
+    readonly openedConnections: () => number;
+    readonly sentDatagramBytes: () => number;
+}
+
+/**
+ * The metrics of one instance. docs/metrics.md explains the names.
+ *
+ * @example
+ * const metrics = new GatewayMetrics(sources);
+ * metrics.request("r-1", 200, 12);
+ * await metrics.text();
+ */
+export class GatewayMetrics {
+    readonly #registry = new Registry();
+    readonly #requests = new Counter({
+        name: "sniperoad_requests_total",
+        help: "Requests of callers by route and status",
+        labelNames: ["route", "status"],
+        registers: [this.#registry],
+    });
+    readonly #latency = new Histogram({
+        name: "sniperoad_request_seconds",
+        help: "Time from a request's header to its answer",
+        labelNames: ["route"],
+        buckets: latencyBuckets,
+        registers: [this.#registry],
+    });
+    readonly #storeCalls = new Counter({
+        name: "sniperoad_store_calls_total",
+        help: "Calls to the object store by kind and result",
+        labelNames: ["call", "result"],
+        registers: [this.#registry],
+    });
+
+    constructor(sources: GaugeSources) {
+        this.#gauge("sniperoad_config_version", "Version of the configuration in force", sources.configVersion);
+        this.#gauge("sniperoad_upstreams", "Upstreams listed", sources.upstreams);
+        this.#gauge("sniperoad_instances_heard", "Other instances heard", sources.instancesHeard);
+        this.#gauge("sniperoad_ready", "1 if callers are taken", () => sources.isReady() ? 1 : 0);
+        this.#gauge("sniperoad_in_flight", "Requests at upstreams", sources.inFlight);
+        this.#gauge("sniperoad_log_lines_dropped", "Log lines lost to a slow reader", sources.droppedLogLines);
+        this.#gauge("sniperoad_upstream_connections_opened", "Connections to upstreams", sources.openedConnections);
+        this.#gauge("sniperoad_datagram_bytes_sent", "Bytes sent to other instances", sources.sentDatagramBytes);
+    }
+
+    request(route: string | undefined, status: number, tookMs: number): void {
+        const label = route ?? "none";
+        this.#requests.inc({ route: label, status: String(status) });
+        this.#latency.observe({ route: label }, tookMs / 1_000);
+    }
+
+    storeCall(call: string, result: string): void {
+        this.#storeCalls.inc({ call, result });
+    }
+
+    /** All metrics in the text format of Prometheus. */
+    text(): Promise<string> {
+        return this.#registry.metrics();
+    }
+
+    #gauge(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name,
+            help,
+            registers: [this.#registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/request/attempts.ts
@@ -0,0 +1,291 @@
+/** Sends one request to upstreams, again where that is allowed. */
+import type { Clock, LogPort, OrganisationId, ServiceId, Timer, UpstreamId } from "@sniperoad/core";
+import { match } from "ts-pattern";
+import type { FleetLoad } from "../balance/fleet-load.js";
+import type { RetryAllowance } from "../balance/retry-allowance.js";
+import type { Choice, UpstreamChooser } from "../balance/upstream-chooser.js";
+import type { PathHealth } from "../health/path-health.js";
+import type { SharedOutcomes } from "../health/shared-outcomes.js";
+import type { DecodedRequest, GatewayRoute, ListedUpstream } from "../model.js";
+import type { KnownUpstream } from "../store/held-upstreams.js";
+import type { CrashGuard } from "./crash-guard.js";
+import type { CallResult, HeaderDialect, UpstreamAnswer, UpstreamCaller } from "./ports.js";
+
+/**
+ * Part of the target latency after which a repeatable request is sent to a second upstream too. Most answers come well
+ * before it, and enough time is left for the second one.
+ */
+const hedgeAfterShare = 0.55;
+
+/** What {@link Attempts} needs. */
+export interface AttemptsOptions {
+    readonly clock: Clock;
+    readonly log: LogPort;
+    readonly caller: UpstreamCaller;
+    readonly dialect: Pick<HeaderDialect, "upstreamHeaders">;
+    readonly chooser: UpstreamChooser;
+    readonly load: FleetLoad;
+    readonly paths: PathHealth;
+    readonly outcomes: SharedOutcomes;
+    readonly allowance: RetryAllowance;
+    readonly candidates: (service: ServiceId) => readonly KnownUpstream[];
+    readonly instanceCount: () => number;
+    readonly crashes: CrashGuard;
+}
+
+/** A request on its way to the upstreams of a service. */
+export interface Work {
+    readonly request: DecodedRequest;
+    readonly body: Uint8Array;
+    readonly route: GatewayRoute;
+    readonly service: ServiceId;
+    readonly organisation: OrganisationId | undefined;
+    readonly fingerprint: string;
+    /** Monotonic time at which the caller must have its answer. */
+    readonly endMs: number;
+    /** Aborted when the caller goes away. */
+    readonly signal: AbortSignal;
+}
+
+/** What became of the request. */
+export type WorkResult =
+    /** `isFailure`: the upstream itself reports that it failed. */
+    | { readonly kind: "answer"; readonly answer: UpstreamAnswer; readonly isFailure: boolean; }
+    /** No upstream ran it, or ever will. */
+    | { readonly kind: "not-run"; readonly reason: string; }
+    | { readonly kind: "unknown"; readonly reason: string; readonly isTimeout: boolean; }
+    | { readonly kind: "cancelled"; };
+
+interface Progress {
+    readonly work: Work;
+    readonly tried: Set<UpstreamId>;
+    sent: number;
+    /** Best result so far of an attempt that has ended. */
+    last: WorkResult | undefined;
+    /** Whether some attempt may have run. */
+    mayHaveRun: boolean;
+}
+
+/**
+ * Runs the attempts of requests.
+ *
+ * @example
+ * const result = await attempts.run(work);
+ */
+export class Attempts {
+    readonly #options: AttemptsOptions;
+
+    constructor(options: AttemptsOptions) {
+        this.#options = options;
+    }
+
+    async run(work: Work): Promise<WorkResult> {
+        const progress: Progress = { work, tried: new Set(), sent: 0, last: undefined, mayHaveRun: false };
+        const ended = new AbortController();
+        const signal = AbortSignal.any([work.signal, ended.signal]);
+        try {
+            return await this.#race(progress, signal);
+        }
+        finally {
+            // A second attempt that is still on its way is of no more use.
+            ended.abort();
+        }
+    }
+
+    /** Starts attempts one after the other, the second one early if the first takes long. */
+    async #race(progress: Progress, signal: AbortSignal): Promise<WorkResult> {
+        const running = new Set<Promise<void>>();
+        for (;;) {
+            const final = progress.last;
+            if (final !== undefined && isFinal(final)) {
+                return final;
+            }
+            if (running.size === 0) {
+                const choice = this.#mayStart(progress) ? this.#choose(progress) : undefined;
+                if (choice === undefined) {
+                    return this.#giveUp(progress);
+                }
+                this.#start(progress, choice, signal, running);
+            }
+            const isHedgeDue = await this.#next(progress, running);
+            if (isHedgeDue && running.size > 0 && this.#mayStart(progress)) {
+                const choice = this.#choose(progress);
+                if (choice !== undefined) {
+                    this.#options.log.event("request-hedged", { request: progress.work.request.requestId });
+                    this.#start(progress, choice, signal, running);
+                }
+            }
+        }
+    }
+
+    /** Waits until an attempt ends; true if the time for a hedge came first. */
+    async #next({ work, sent }: Progress, running: ReadonlySet<Promise<void>>): Promise<boolean> {
+        const { clock } = this.#options;
+        if (!work.route.isIdempotent || sent > 1) {
+            await Promise.race(running);
+            return false;
+        }
+        let timer: Timer | undefined;
+        const hedge = new Promise<true>(resolve => {
+            timer = clock.after(work.route.targetLatencyMs * hedgeAfterShare, () => resolve(true));
+        });
+        const result = await Promise.race([hedge, ...running]);
+        timer?.cancel();
+        return result === true;
+    }
+
+    #mayStart({ work, sent, mayHaveRun }: Progress): boolean {
+        const { allowance, clock, instanceCount } = this.#options;
+        if (sent === 0) {
+            return true;
+        }
+        return sent < work.route.maxAttempts
+            && (work.route.isIdempotent || !mayHaveRun)
+            && clock.monotonicMs() < work.endMs
+            && !work.signal.aborted
+            && allowance.tryTake(work.service, instanceCount());
+    }
+
+    #choose({ work, tried }: Progress): Choice | undefined {
+        return this.#options.chooser.choose({
+            candidates: this.#options.candidates(work.service),
+            tried,
+            isRepeatable: work.route.isIdempotent && tried.size + 1 < work.route.maxAttempts,
+        });
+    }
+
+    #start(progress: Progress, choice: Choice, signal: AbortSignal, running: Set<Promise<void>>): void {
+        progress.sent++;
+        progress.tried.add(choice.upstream.listed.id);
+        const attempt = this.#attempt(progress, choice, signal).then(() => {
+            running.delete(attempt);
+        });
+        running.add(attempt);
+    }
+
+    async #attempt(progress: Progress, choice: Choice, signal: AbortSignal): Promise<void> {
+        const { clock, caller, dialect, load } = this.#options;
+        const { work } = progress;
+        const { listed } = choice.upstream;
+        const startMs = clock.monotonicMs();
+        const timeoutMs = Math.max(1, work.endMs - startMs);
+        const done = load.begin(listed.id);
+        const result = await caller.call({
+            upstream: listed,
+            method: work.request.method,
+            target: work.request.target,
+            headers: dialect.upstreamHeaders(work.request, {
+                upstream: listed,
+                organisation: work.organisation,
+                deadlineMs: Math.max(1, Math.floor(timeoutMs)),
+            }),
+            body: work.body,
+            requestId: work.request.requestId,
+            timeoutMs,
+            signal,
+        });
+        done();
+        const outcome = this.#judge(result, work, listed);
+        this.#log(progress, choice, result, clock.monotonicMs() - startMs);
+        progress.mayHaveRun ||= outcome.kind !== "not-run";
+        // An attempt that a caller can use is not replaced by a later one that failed.
+        if (progress.last === undefined || !isFinal(progress.last)) {
+            progress.last = outcome;
+        }
+    }
+
+    /** What an attempt says about the request and about its upstream. */
+    #judge(result: CallResult, work: Work, listed: ListedUpstream): WorkResult {
+        const upstream = listed.id;
+        const { paths, outcomes } = this.#options;
+        return match(result)
+            .with({ kind: "answer" }, ({ answer }): WorkResult => {
+                paths.noteSuccess(upstream);
+                this.#options.crashes.clear(work.fingerprint);
+                return this.#judgeAnswer(answer, upstream);
+            })
+            .with({ kind: "refused" }, ({ reason }): WorkResult => {
+                paths.noteFailure(upstream);
+                return { kind: "not-run", reason };
+            })
+            .with({ kind: "broken" }, ({ reason, hadHeaders }): WorkResult => {
+                paths.noteFailure(upstream);
+                if (!hadHeaders) {
+                    void this.#noteIfCrashed(work, listed);
+                }
+                return { kind: "unknown", reason, isTimeout: false };
+            })
+            .with({ kind: "foreign" }, ({ reason }): WorkResult => ({ kind: "unknown", reason, isTimeout: false }))
+            .with({ kind: "timeout" }, (): WorkResult => {
+                paths.noteFailure(upstream);
+                outcomes.note(upstream, false);
+                return { kind: "unknown", reason: "no answer in time", isTimeout: true };
+            })
+            .with({ kind: "cancelled" }, (): WorkResult => ({ kind: "cancelled" }))
+            .exhaustive();
+    }
+
+    /** A connection that broke may be the path's fault; a process that refuses connections has ended. */
+    async #noteIfCrashed(work: Work, listed: ListedUpstream): Promise<void> {
+        if (await this.#options.caller.isDown(listed)) {
+            this.#options.log.event("upstream-crashed", {
+                request: work.request.requestId,
+                upstream: listed.id,
+                fingerprint: work.fingerprint,
+            });
+            this.#options.crashes.note(work.fingerprint, listed.id);
+        }
+    }
+
+    #judgeAnswer(answer: UpstreamAnswer, upstream: UpstreamId): WorkResult {
+        const { outcomes, paths } = this.#options;
+        if (answer.marks.isMisdirected) {
+            paths.noteFailure(upstream);
+            return { kind: "not-run", reason: "the address belongs to another upstream" };
+        }
+        if (answer.marks.isNotRun) {
+            return { kind: "not-run", reason: `the upstream refused it with ${answer.status}` };
+        }
+        if (!answer.marks.isVouched && answer.status < 500) {
+            return { kind: "unknown", reason: "the answer does not bear the upstream's mark", isTimeout: false };
+        }
+        const isFailure = answer.status >= 500;
+        outcomes.note(upstream, !isFailure);
+        return { kind: "answer", answer, isFailure };
+    }
+
+    #giveUp({ work, last, mayHaveRun }: Progress): WorkResult {
+        if (work.signal.aborted) {
+            return { kind: "cancelled" };
+        }
+        if (last === undefined) {
+            return { kind: "not-run", reason: "no upstream of the service is listed" };
+        }
+        if (last.kind === "not-run" && mayHaveRun) {
+            return { kind: "unknown", reason: `an earlier attempt may have run; ${last.reason}`, isTimeout: false };
+        }
+        return last;
+    }
+
+    #log({ work, sent }: Progress, choice: Choice, result: CallResult, tookMs: number): void {
+        this.#options.log.event("attempt", {
+            request: work.request.requestId,
+            number: sent,
+            route: work.route.id,
+            service: work.service,
+            upstream: choice.upstream.listed.id,
+            gray: Number(choice.grayProbability.toFixed(3)),
+            inFlight: choice.inFlight,
+            candidates: choice.candidateCount,
+            result: result.kind,
+            status: result.kind === "answer" ? result.answer.status : undefined,
+            reason: "reason" in result ? result.reason : undefined,
+            tookMs: Math.round(tookMs),
+            leftMs: Math.round(work.endMs - this.#options.clock.monotonicMs()),
+        });
+    }
+}
+
+/** A result after which no further attempt is made. */
+const isFinal = (result: WorkResult): boolean =>
+    result.kind === "cancelled" || result.kind === "answer" && !result.isFailure;
--- /dev/null
+++ b/packages/gateway/src/lib/request/ports.ts
@@ -0,0 +1,64 @@
+/** Ports of the request path. */
+import type { Headers, OrganisationId } from "@sniperoad/core";
+import type { AnswerMarks, DecodedRequest, ListedUpstream } from "../model.js";
+
+/** A request as it goes to an upstream. */
+export interface UpstreamCall {
+    readonly upstream: ListedUpstream;
+    readonly method: string;
+    /** Path and query. */
+    readonly target: string;
+    readonly headers: Headers;
+    readonly body: Uint8Array;
+    /** Identifies the answer. */
+    readonly requestId: string | undefined;
+    /** Longest time until the whole answer is there. */
+    readonly timeoutMs: number;
+    readonly signal: AbortSignal;
+}
+
+/** A whole answer of an upstream. */
+export interface UpstreamAnswer {
+    readonly status: number;
+    readonly headers: Headers;
+    readonly body: Uint8Array;
+    readonly marks: AnswerMarks;
+}
+
+/**
+ * What became of a call. Only `refused` and an answer marked as not run state that the request did not run; after every
+ * other kind it may have run.
+ */
+export type CallResult =
+    | { readonly kind: "answer"; readonly answer: UpstreamAnswer; }
+    /** No connection was made. */
+    | { readonly kind: "refused"; readonly reason: string; }
+    /** The connection ended before a whole answer. */
+    | { readonly kind: "broken"; readonly reason: string; readonly hadHeaders: boolean; }
+    /** The answer belongs to another request, or its body is not the upstream's. */
+    | { readonly kind: "foreign"; readonly reason: string; }
+    | { readonly kind: "timeout"; }
+    | { readonly kind: "cancelled"; };
+
+/** Sends requests to upstreams. It never rejects: every failure is a kind of result. */
+export interface UpstreamCaller {
+    call(call: UpstreamCall): Promise<CallResult>;
+    /** Whether the address refuses a connection, so that the process there has ended. */
+    isDown(upstream: ListedUpstream): Promise<boolean>;
+}
+
+/** Translates between the headers of a deployment and the gateway's types. */
+export interface HeaderDialect {
+    /** Reads a request; names of header fields are lower case. */
+    decodeRequest(method: string, target: string, headers: Headers): DecodedRequest;
+    /** Header of a request to an upstream. */
+    upstreamHeaders(request: DecodedRequest, extra: {
+        readonly upstream: ListedUpstream;
+        readonly organisation: OrganisationId | undefined;
+        readonly deadlineMs: number;
+    }): Headers;
+    /** What the header of an answer states. */
+    decodeAnswer(status: number, headers: Headers): AnswerMarks;
+    /** Header of an answer that the gateway itself makes. */
+    refusalHeaders(requestId: string | undefined, retryAfterMs: number | undefined): Headers;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -0,0 +1,211 @@
+/** Handles a caller's request from its header to its answer. */
+import { id, problemAnswer } from "@sniperoad/core";
+import type { Answer, Clock, LogPort, Random, Refusal, RequestId, ServiceId, Sha256 } from "@sniperoad/core";
+import { match } from "ts-pattern";
+import type { RetryAllowance } from "../balance/retry-allowance.js";
+import type { DecodedRequest, GatewayOrganisation, GatewayRoute } from "../model.js";
+import type { FleetRate, FleetSize } from "../rates/fleet-rate.js";
+import type { HeldConfig, IndexedConfig } from "../routing/held-config.js";
+import type { Attempts, Work, WorkResult } from "./attempts.js";
+import type { CrashGuard } from "./crash-guard.js";
+import type { HeaderDialect } from "./ports.js";
+
+/** Deadline of a caller that states none. */
+const defaultDeadlineMs = 30_000;
+/** Time that an answer needs on its way to the caller before the caller's deadline. */
+const answerMarginMs = 10;
+/** When a caller should come back after a refusal that other instances share. */
+const retryAfterMs = 250;
+
+/** What {@link RequestHandler} needs. */
+export interface RequestHandlerOptions {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly sha256: Sha256;
+    readonly log: LogPort;
+    readonly config: HeldConfig;
+    readonly rates: FleetRate;
+    readonly allowance: RetryAllowance;
+    readonly crashes: CrashGuard;
+    readonly attempts: Attempts;
+    readonly dialect: Pick<HeaderDialect, "refusalHeaders">;
+    readonly fleetSize: () => FleetSize;
+    /** Why requests with a key cannot be vouched for now; undefined when they can. */
+    readonly whyUnconfirmed: () => string | undefined;
+    readonly onDone: (route: GatewayRoute | undefined, status: number, tookMs: number) => void;
+}
+
+/** A request with its whole body. */
+export interface ReceivedRequest {
+    readonly request: DecodedRequest;
+    /** Undefined when it is larger than the limit. */
+    readonly body: Uint8Array | undefined;
+    /** Monotonic time at which the header was read. */
+    readonly receivedMs: number;
+    /** Aborted when the caller goes away. */
+    readonly signal: AbortSignal;
+}
+
+/**
+ * Decides what becomes of each request, in the order: configuration, route, key, size, rate, upstream.
+ *
+ * @example
+ * const answer = await handler.handle(received);
+ */
+export class RequestHandler {
+    readonly #options: RequestHandlerOptions;
+
+    constructor(options: RequestHandlerOptions) {
+        this.#options = options;
+    }
+
+    /** The answer; undefined when the caller has gone. */
+    async handle(received: ReceivedRequest): Promise<Answer | undefined> {
+        const { config, clock, onDone } = this.#options;
+        const { request } = received;
+        const indexed = config.current;
+        const route = indexed?.routes.find(request.host, request.target);
+        const result = indexed === undefined
+            ? this.#refusal({ type: "not-current", detail: "No configuration yet.", retryAfterMs })
+            : await this.#admit(received, indexed, route);
+        const answer = this.#toAnswer(result, request);
+        const tookMs = clock.monotonicMs() - received.receivedMs;
+        this.#logDone(received, route, result, answer, tookMs);
+        onDone(route, answer?.status ?? cancelledStatus, tookMs);
+        return answer;
+    }
+
+    async #admit(
+        received: ReceivedRequest,
+        indexed: IndexedConfig,
+        route: GatewayRoute | undefined,
+    ): Promise<HandlingResult> {
+        const { request, body } = received;
+        if (route === undefined) {
+            return this.#refusal({ type: "route-unknown" });
+        }
+        const organisation = route.isOpen || request.key === undefined ? undefined : indexed.keys.find(request.key);
+        if (organisation === undefined && !route.isOpen && indexed.config.organisations.length > 0) {
+            return this.#refusal({ type: request.key === undefined ? "key-missing" : "key-wrong" });
+        }
+        const unconfirmed = route.isOpen ? undefined : this.#options.whyUnconfirmed();
+        if (unconfirmed !== undefined) {
+            return this.#refusal({ type: "not-current", detail: unconfirmed, retryAfterMs });
+        }
+        if (body === undefined) {
+            return this.#refusal({
+                type: "request-too-large",
+                detail: `The limit is ${indexed.config.limits.maxBodyBytes} bytes.`,
+            });
+        }
+        return this.#dispatch(received, body, route, organisation);
+    }
+
+    async #dispatch(
+        received: ReceivedRequest,
+        body: Uint8Array,
+        route: GatewayRoute,
+        organisation: GatewayOrganisation | undefined,
+    ): Promise<HandlingResult> {
+        const { rates, allowance, crashes, attempts, fleetSize } = this.#options;
+        const { request, receivedMs, signal } = received;
+        const fingerprint = this.#fingerprint(request, body, organisation);
+        if (crashes.isSuspect(fingerprint)) {
+            return this.#refusal({ type: "crash-suspect", retryAfterMs: crashes.suspectMs });
+        }
+        if (organisation !== undefined) {
+            rates.noteOffered(organisation.id);
+            if (!rates.tryAdmit(organisation, fleetSize())) {
+                return this.#refusal({ type: "over-rate", retryAfterMs });
+            }
+        }
+        const service = this.#destination(route);
+        allowance.noteRequest(service);
+        const deadlineMs = (request.deadlineMs ?? defaultDeadlineMs) - answerMarginMs;
+        const work: Work = {
+            request,
+            body,
+            route,
+            service,
+            organisation: organisation?.id,
+            fingerprint,
+            endMs: receivedMs + Math.min(deadlineMs, route.timeoutMs),
+            signal,
+        };
+        return { kind: "done", work, result: await attempts.run(work) };
+    }
+
+    /** A service at random, in the proportions of the weights. */
+    #destination(route: GatewayRoute): ServiceId {
+        const total = route.destinations.reduce((sum, { weight }) => sum + weight, 0);
+        let left = this.#options.random() * total;
+        const found = route.destinations.find(({ weight }) => (left -= weight) < 0);
+        return (found ?? route.destinations[0]!).service;
+    }
+
+    #fingerprint(request: DecodedRequest, body: Uint8Array, organisation: GatewayOrganisation | undefined): string {
+        const { sha256 } = this.#options;
+        const parts = [organisation?.id ?? "", request.host, request.method, request.target, sha256(body)];
+        return sha256(parts.join("\n")).slice(0, fingerprintDigits);
+    }
+
+    #refusal(refusal: Omit<Refusal, "outcome">): HandlingResult {
+        return { kind: "refused", refusal: { ...refusal, outcome: "not-run" } };
+    }
+
+    #toAnswer(result: HandlingResult, request: DecodedRequest): Answer | undefined {
+        if (result.kind === "refused") {
+            return this.#problem(result.refusal, request);
+        }
+        return match(result.result)
+            .with({ kind: "answer" }, ({ answer }): Answer => answer)
+            .with({ kind: "not-run" }, ({ reason }) =>
+                this.#problem({ type: "no-upstream", outcome: "not-run", detail: `${reason}.`, retryAfterMs }, request))
+            .with({ kind: "unknown" }, ({ reason, isTimeout }) =>
+                this.#problem({
+                    type: isTimeout ? "upstream-timeout" : "upstream-failed",
+                    outcome: "unknown",
+                    detail: `${reason}.`,
+                }, request))
+            .with({ kind: "cancelled" }, () => undefined)
+            .exhaustive();
+    }
+
+    #problem(refusal: Refusal, request: DecodedRequest): Answer {
+        const answer = problemAnswer(refusal, id<RequestId>(request.requestId ?? ""));
+        const extra = this.#options.dialect.refusalHeaders(request.requestId, refusal.retryAfterMs);
+        const replaced = new Set(extra.map(([name]) => name));
+        return { ...answer, headers: [...answer.headers.filter(([name]) => !replaced.has(name)), ...extra] };
+    }
+
+    #logDone(
+        { request }: ReceivedRequest,
+        route: GatewayRoute | undefined,
+        result: HandlingResult,
+        answer: Answer | undefined,
+        tookMs: number,
+    ): void {
+        const { log, config } = this.#options;
+        log.event("request-done", {
+            request: request.requestId,
+            route: route?.id,
+            organisation: result.kind === "done" ? result.work.organisation : undefined,
+            outcome: result.kind === "refused" ? result.refusal.type : result.result.kind,
+            reason: result.kind === "done" ? reasonOfResult(result.result) : result.refusal.detail,
+            status: answer?.status,
+            tookMs: Math.round(tookMs),
+            configVersion: config.version,
+        });
+    }
+}
+
+/** Status under which requests whose caller went away are counted. */
+const cancelledStatus = 499;
+/** Hex digits of a fingerprint; 80 bits make a chance match out of the question. */
+const fingerprintDigits = 20;
+
+type HandlingResult =
+    | { readonly kind: "refused"; readonly refusal: Refusal; }
+    | { readonly kind: "done"; readonly work: Work; readonly result: WorkResult; };
+
+const reasonOfResult = (result: WorkResult): string | undefined => "reason" in result ? result.reason : undefined;
--- /dev/null
+++ b/packages/gateway/src/lib/request/upstream-connections.ts
@@ -0,0 +1,190 @@
+/** Calls upstreams over HTTP by undici, one request at a time on each connection. */
+import type { Headers, UpstreamId } from "@sniperoad/core";
+import { splitAddress } from "@sniperoad/daemon";
+import { createConnection } from "node:net";
+import { Client } from "undici";
+import type { Dispatcher } from "undici";
+import { reasonOf } from "../errors.js";
+import type { ListedUpstream } from "../model.js";
+import type { CallResult, HeaderDialect, UpstreamAnswer, UpstreamCall, UpstreamCaller } from "./ports.js";
+
+/** Longest time for a connection; upstreams of a deployment are milliseconds away. */
+const connectTimeoutMs = 400;
+/** Idle time after which a connection is closed, unless the upstream states a shorter one. */
+const idleTimeoutMs = 4_000;
+/** Largest answer; answers are read whole before the caller sees a byte. */
+const maxAnswerBytes = 16 * 1_048_576;
+/** Idle connections kept to one upstream; an instance rarely has more requests at one upstream. */
+const maxIdlePerUpstream = 3;
+
+/** What {@link UpstreamConnections} needs. */
+export interface UpstreamConnectionsOptions {
+    readonly dialect: Pick<HeaderDialect, "decodeAnswer">;
+}
+
+/**
+ * Keeps connections to upstreams. A connection whose request did not end with a whole and matching answer is closed,
+ * so no later request gets an answer meant for another.
+ *
+ * @example
+ * const result = await connections.call(call);
+ */
+export class UpstreamConnections implements UpstreamCaller {
+    readonly #options: UpstreamConnectionsOptions;
+    readonly #idle = new Map<UpstreamId, Client[]>();
+    /** Connections opened since the start. */
+    openedCount = 0;
+
+    constructor(options: UpstreamConnectionsOptions) {
+        this.#options = options;
+    }
+
+    async call(call: UpstreamCall): Promise<CallResult> {
+        const client = this.#take(call);
+        const result = await this.#exchange(client, call);
+        if (result.kind === "answer" && !client.destroyed) {
+            this.#keep(call.upstream.id, client);
+        }
+        else {
+            destroy(client);
+        }
+        return result;
+    }
+
+    isDown(upstream: ListedUpstream): Promise<boolean> {
+        const { host, port } = splitAddress(upstream.address);
+        return new Promise(resolve => {
+            const socket = createConnection({ host, port, timeout: connectTimeoutMs });
+            const settle = (isRefused: boolean): void => {
+                socket.destroy();
+                resolve(isRefused);
+            };
+            socket.on("connect", () => settle(false));
+            socket.on("timeout", () => settle(false));
+            socket.on("error", error => settle((error as NodeJS.ErrnoException).code === "ECONNREFUSED"));
+        });
+    }
+
+    /** Closes idle connections to upstreams that are no longer listed. */
+    retain(isListed: (upstream: UpstreamId) => boolean): void {
+        for (const [upstream, clients] of this.#idle) {
+            if (!isListed(upstream)) {
+                this.#idle.delete(upstream);
+                clients.forEach(destroy);
+            }
+        }
+    }
+
+    #take(call: UpstreamCall): Client {
+        const idle = this.#idle.get(call.upstream.id);
+        for (let client = idle?.pop(); client !== undefined; client = idle?.pop()) {
+            // A client reconnects by itself, so one without a connection is as good as a new one.
+            if (!client.destroyed) {
+                return client;
+            }
+        }
+        return this.#open(call.upstream.address);
+    }
+
+    #open(address: string): Client {
+        const client = new Client(`http://${address}`, {
+            pipelining: 1,
+            connect: { timeout: connectTimeoutMs },
+            keepAliveTimeout: idleTimeoutMs,
+            keepAliveMaxTimeout: idleTimeoutMs,
+            maxResponseSize: maxAnswerBytes,
+            // Each request has a timeout of its own.
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+        client.on("connect", () => this.openedCount++);
+        return client;
+    }
+
+    #keep(upstream: UpstreamId, client: Client): void {
+        const idle = this.#idle.get(upstream) ?? [];
+        if (idle.length >= maxIdlePerUpstream) {
+            destroy(client);
+            return;
+        }
+        idle.push(client);
+        this.#idle.set(upstream, idle);
+    }
+
+    async #exchange(client: Client, call: UpstreamCall): Promise<CallResult> {
+        const timeout = new AbortController();
+        const timer = setTimeout(() => timeout.abort(), call.timeoutMs);
+        const progress = { hadHeaders: false };
+        try {
+            const response = await client.request({
+                method: call.method as Dispatcher.HttpMethod,
+                path: call.target,
+                headers: call.headers.flatMap(([name, value]) => [name, value]),
+                body: call.body.length === 0 ? null : call.body,
+                signal: AbortSignal.any([timeout.signal, call.signal]),
+            });
+            progress.hadHeaders = true;
+            return await this.#read(response, call);
+        }
+        catch (error) {
+            return classify(error, {
+                isTimeout: timeout.signal.aborted,
+                isCancelled: call.signal.aborted,
+                hadHeaders: progress.hadHeaders,
+            });
+        }
+        finally {
+            clearTimeout(timer);
+        }
+    }
+
+    async #read(response: Dispatcher.ResponseData, call: UpstreamCall): Promise<CallResult> {
+        const headers = flatHeaders(response.headers);
+        const marks = this.#options.dialect.decodeAnswer(response.statusCode, headers);
+        const isForeign = marks.requestId !== undefined && marks.requestId !== call.requestId;
+        if (isForeign || marks.isEncoded) {
+            discard(response.body);
+            return { kind: "foreign", reason: isForeign ? "answer names another request" : "body is encoded" };
+        }
+        const body = new Uint8Array(await response.body.arrayBuffer());
+        const answer: UpstreamAnswer = { status: response.statusCode, headers, body, marks };
+        return { kind: "answer", answer };
+    }
+}
+
+const destroy = (client: Client): void => {
+    // The requests of a destroyed client have ended already, so nothing waits for the result.
+    client.destroy().catch(() => {});
+};
+
+/** Destroying an unread body emits an error event, which ends the process when nothing listens for it. */
+const discard = (body: Dispatcher.ResponseData["body"]): void => {
+    body.on("error", () => {});
+    body.destroy();
+};
+
+const flatHeaders = (headers: Record<string, string | string[] | undefined>): Headers =>
+    Object.entries(headers).flatMap(([name, value]) =>
+        (Array.isArray(value) ? value : [value]).map(one => [name.toLowerCase(), one ?? ""] as const)
+    );
+
+interface Circumstances {
+    readonly isTimeout: boolean;
+    readonly isCancelled: boolean;
+    readonly hadHeaders: boolean;
+}
+
+/** Errors that arise before any byte of the request was written. */
+const notSentCodes = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
+
+const classify = (error: unknown, { isTimeout, isCancelled, hadHeaders }: Circumstances): CallResult => {
+    if (isCancelled) {
+        return { kind: "cancelled" };
+    }
+    if (isTimeout) {
+        return { kind: "timeout" };
+    }
+    const code = String((error as { code?: unknown; }).code ?? "");
+    const reason = `${code} ${reasonOf(error)}`.trim();
+    return notSentCodes.has(code) ? { kind: "refused", reason } : { kind: "broken", reason, hadHeaders };
+};
--- /dev/null
+++ b/packages/gateway/src/lib/routing/held-config.ts
@@ -0,0 +1,46 @@
+/** The configuration in force at this instance, with its indexes. */
+import type { Sha256 } from "@sniperoad/core";
+import type { GatewayConfig } from "../model.js";
+import { KeyIndex } from "./key-index.js";
+import { RouteIndex } from "./route-index.js";
+
+/** A configuration ready for use. */
+export interface IndexedConfig {
+    readonly config: GatewayConfig;
+    readonly routes: RouteIndex;
+    readonly keys: KeyIndex;
+}
+
+/**
+ * Holds the newest configuration that this process has seen; a version never goes back.
+ *
+ * @example
+ * const held = new HeldConfig(sha256);
+ * held.accept(config); // true if it is newer
+ */
+export class HeldConfig {
+    readonly #sha256: Sha256;
+    #current: IndexedConfig | undefined;
+
+    constructor(sha256: Sha256) {
+        this.#sha256 = sha256;
+    }
+
+    get current(): IndexedConfig | undefined {
+        return this.#current;
+    }
+
+    /** 0 before the first configuration. */
+    get version(): number {
+        return this.#current?.config.version ?? 0;
+    }
+
+    /** Puts a configuration in force if it is newer than the one held. */
+    accept(config: GatewayConfig): boolean {
+        if (config.version <= this.version) {
+            return false;
+        }
+        this.#current = { config, routes: new RouteIndex(config), keys: new KeyIndex(config, this.#sha256) };
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/routing/key-index.ts
@@ -0,0 +1,25 @@
+/** Finds the organisation of a caller's key. */
+import type { Sha256 } from "@sniperoad/core";
+import type { GatewayConfig, GatewayOrganisation, KeyHash } from "../model.js";
+
+/**
+ * Organisations by the hash of their keys. A lookup by hash takes a time that tells nothing about the key.
+ *
+ * @example
+ * const organisation = new KeyIndex(config, sha256).find(key);
+ */
+export class KeyIndex {
+    readonly #byHash = new Map<KeyHash, GatewayOrganisation>();
+    readonly #sha256: Sha256;
+
+    constructor(config: GatewayConfig, sha256: Sha256) {
+        this.#sha256 = sha256;
+        for (const organisation of config.organisations) {
+            organisation.keys.forEach(hash => this.#byHash.set(hash, organisation));
+        }
+    }
+
+    find(key: string): GatewayOrganisation | undefined {
+        return this.#byHash.get(this.#sha256(key) as KeyHash);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/store/reader-duty.ts
@@ -0,0 +1,39 @@
+/** Which instances read a collection from the store on behalf of all. */
+import { hash32 } from "@sniperoad/core";
+import type { InstanceId } from "@sniperoad/core";
+import type { FeedState } from "../fleet/beat.js";
+
+/** Readers of each collection. Two may be cut off at once and one still hears of a change. */
+export const readersWanted = 3;
+/** Readers in trouble beyond which the store itself is taken to be down, so that no further instance tries. */
+const troubledReadersMax = 6;
+/**
+ * Age of the last own read above which a reader counts as in trouble: a watch returns within its wait of 1,000 ms and
+ * a delay of the store.
+ */
+export const troubleAfterMs = 1_500;
+
+/** A candidate for reading: an instance that is heard. */
+export interface ReaderCandidate {
+    readonly id: InstanceId;
+    readonly feed: Pick<FeedState, "isReading" | "readAgeMs">;
+}
+
+/**
+ * Whether an instance should read. Candidates are ranked by a hash of their ids; those in trouble are passed over, up
+ * to a number. All instances that hear the same candidates come to the same result, without an exchange.
+ *
+ * @example
+ * shouldRead(self, "upstreams", members);
+ */
+export const shouldRead = (self: InstanceId, collection: string, others: readonly ReaderCandidate[]): boolean => {
+    const ownRank = rankOf(self, collection);
+    const better = others.filter(({ id }) => {
+        const rank = rankOf(id, collection);
+        return rank < ownRank || rank === ownRank && id < self;
+    });
+    const troubled = better.filter(({ feed }) => feed.isReading && (feed.readAgeMs ?? 0) > troubleAfterMs).length;
+    return better.length - troubled < readersWanted && troubled < troubledReadersMax;
+};
+
+const rankOf = (id: InstanceId, collection: string): number => hash32(`${collection}|${id}`);
