--- a/packages/core/src/lib/balance/messages.ts
+++ b/packages/core/src/lib/balance/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between an instance and the home that hands out a service's slots. */
-import { z } from "zod";
+import * as z from "zod";
 import type { PeerMethod } from "../ports.js";
 import type { OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "../types.js";
 
--- a/packages/core/src/lib/claims/messages.ts
+++ b/packages/core/src/lib/claims/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between entry instances and holders, and among holders. */
-import { z } from "zod";
+import * as z from "zod";
 import type { PeerMethod } from "../ports.js";
 import type { Answer, AttemptId, IdempotencyKey, InstanceId, OrganisationId, SeatId } from "../types.js";
 
--- a/packages/core/src/lib/claims/testing/bound-gate.ts
+++ b/packages/core/src/lib/claims/testing/bound-gate.ts
@@ -1,5 +1,5 @@
 /** Baseline: a key is bound to the instance that first took it. */
-import { z } from "zod";
+import * as z from "zod";
 import type { InstanceContext } from "../../context.js";
 import type { PeerMethod } from "../../ports.js";
 import type { Claim, ClaimDecision, ClaimGate, RoutedRequest } from "../../stages.js";
--- a/packages/core/src/lib/config.ts
+++ b/packages/core/src/lib/config.ts
@@ -1,5 +1,5 @@
 /** The fleet's configuration: what operators declare. */
-import { z } from "zod";
+import * as z from "zod";
 import type { KeyId, OrganisationId, RouteId, ServiceId } from "./types.js";
 
 const name = z.string().regex(
--- a/packages/core/src/lib/configuration/messages.ts
+++ b/packages/core/src/lib/configuration/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between instances about configuration and withdrawals. */
-import { z } from "zod";
+import * as z from "zod";
 import type { PeerMethod } from "../ports.js";
 import type { KeyId } from "../types.js";
 
--- a/packages/core/src/lib/crash/messages.ts
+++ b/packages/core/src/lib/crash/messages.ts
@@ -1,5 +1,5 @@
 /** Messages about requests that crash upstreams. */
-import { z } from "zod";
+import * as z from "zod";
 import type { PeerMethod } from "../ports.js";
 import type { ServiceId, UpstreamId } from "../types.js";
 import type { Fingerprint } from "./fingerprint.js";
--- a/packages/core/src/lib/health/messages.ts
+++ b/packages/core/src/lib/health/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between instances and the home of a service. */
-import { z } from "zod";
+import * as z from "zod";
 import type { PeerMethod } from "../ports.js";
 import type { RouteId, ServiceId, UpstreamId, ZoneId } from "../types.js";
 
--- a/packages/core/src/lib/instance/upstream-list.ts
+++ b/packages/core/src/lib/instance/upstream-list.ts
@@ -1,5 +1,5 @@
 /** The platform's instance list as one instance keeps it. */
-import { z } from "zod";
+import * as z from "zod";
 import type {
     Clock,
     InstanceListing,
--- a/packages/core/src/lib/membership/messages.ts
+++ b/packages/core/src/lib/membership/messages.ts
@@ -1,5 +1,5 @@
 /** Messages of membership between instances. */
-import { z } from "zod";
+import * as z from "zod";
 import type { PeerMethod } from "../ports.js";
 import type { InstanceId, InstanceInfo, ZoneId } from "../types.js";
 import type { FleetSeat } from "./seats.js";
--- a/packages/core/src/lib/membership/seats.ts
+++ b/packages/core/src/lib/membership/seats.ts
@@ -1,5 +1,5 @@
 /** The roster as the platform and peers keep it, and the changes to it. */
-import { z } from "zod";
+import * as z from "zod";
 import type { Roster, Seat } from "../membership.js";
 import { hash32 } from "../rendezvous.js";
 import type { InstanceId, SeatId, ZoneId } from "../types.js";
--- a/packages/core/src/lib/rates/messages.ts
+++ b/packages/core/src/lib/rates/messages.ts
@@ -1,5 +1,5 @@
 /** Messages between drawing instances and the homes of shares. */
-import { z } from "zod";
+import * as z from "zod";
 import type { PeerMethod } from "../ports.js";
 import type { OrganisationId } from "../types.js";
 
--- a/packages/daemon/src/lib/frames.ts
+++ b/packages/daemon/src/lib/frames.ts
@@ -1,7 +1,7 @@
 /** Frames between instances: a 4-byte length and a CBOR body with the protocol version. */
 import { SniperoadError } from "@sniperoad/core";
 import { Encoder } from "cbor-x";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Largest body of a frame. */
 export const maxFrameBytes = 1_048_576;
--- a/packages/daemon/src/lib/http-server.ts
+++ b/packages/daemon/src/lib/http-server.ts
@@ -7,7 +7,7 @@
 import type { Context } from "hono";
 import { timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, Server } from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 
 /** What the HTTP side asks of the instance. */
 export interface HttpServerContext {
--- a/packages/daemon/src/lib/identified-list.ts
+++ b/packages/daemon/src/lib/identified-list.ts
@@ -9,7 +9,7 @@
     PeerPort,
     ZoneId,
 } from "@sniperoad/core";
-import { z } from "zod";
+import * as z from "zod";
 
 const text = z.string().min(1).max(200);
 const identitySchema = z.strictObject({
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -1,6 +1,6 @@
 /** Settings of one instance. */
 import { isIP } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 
 const isAddress = (text: string): boolean => {
     const { host, port } = splitAddress(text);
--- a/packages/daemon/src/lib/tcp-peers.test.ts
+++ b/packages/daemon/src/lib/tcp-peers.test.ts
@@ -3,7 +3,7 @@
 import { createConnection } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { z } from "zod";
+import * as z from "zod";
 import { encodeFrame, protocolVersion } from "./frames.js";
 import { systemClock } from "./system-ports.js";
 import { TcpPeers } from "./tcp-peers.js";
--- a/packages/gateway/src/lib/fleet/beat.ts
+++ b/packages/gateway/src/lib/fleet/beat.ts
@@ -1,6 +1,6 @@
 /** The message by which instances tell each other that they live, and what they know. */
 import type { Branded, InstanceId, OrganisationId, UpstreamId, ZoneId } from "@sniperoad/core";
-import { z } from "zod";
+import * as z from "zod";
 
 /** One collection of the store as an instance holds it. */
 export interface FeedState {
--- a/packages/gateway/src/lib/fleet/datagrams.ts
+++ b/packages/gateway/src/lib/fleet/datagrams.ts
@@ -2,7 +2,7 @@
 import { SniperoadError } from "@sniperoad/core";
 import { Encoder } from "cbor-x";
 import { match } from "ts-pattern";
-import { z } from "zod";
+import * as z from "zod";
 import { type Beat, beatToWire, beatWire } from "./beat.js";
 
 /** Instances of another version do not understand each other's datagrams. */
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -2,7 +2,7 @@
 import { id, InvalidConfigurationError } from "@sniperoad/core";
 import type { ZoneId } from "@sniperoad/core";
 import { type ParseError, parse, printParseErrorCode } from "jsonc-parser";
-import { z } from "zod";
+import * as z from "zod";
 
 const address = z.string().regex(/^[^\s:]+:\d{1,5}$/, "use host:port with an IP number");
 const positive = z.number().positive();
--- a/packages/gateway/src/lib/store/state-exchange.ts
+++ b/packages/gateway/src/lib/store/state-exchange.ts
@@ -1,6 +1,6 @@
 /** How instances fetch whole states from each other. */
 import type { Clock, InstanceId, LogPort, PeerMethod, PeerPort, Random } from "@sniperoad/core";
-import { z } from "zod";
+import * as z from "zod";
 import { reasonOf } from "../errors.js";
 
 /** A whole state as one instance gives it to another. */
--- a/packages/operator/src/lib/fleet-status.ts
+++ b/packages/operator/src/lib/fleet-status.ts
@@ -10,7 +10,7 @@
     withdrawalsObject,
     withdrawalsValueSchema,
 } from "@sniperoad/core";
-import { z } from "zod";
+import * as z from "zod";
 import { instanceRequest } from "./instance-admin.js";
 
 /** Answer of an instance to `GET /admin/status`. */
--- a/packages/operator/src/lib/http-platform.ts
+++ b/packages/operator/src/lib/http-platform.ts
@@ -13,7 +13,7 @@
     type ZoneId,
 } from "@sniperoad/core";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Options of {@link HttpPlatform}. */
 export interface HttpPlatformOptions {
--- a/packages/operator/src/lib/lift-quarantine.ts
+++ b/packages/operator/src/lib/lift-quarantine.ts
@@ -1,6 +1,6 @@
 /** Lifts quarantines from outside the fleet. */
 import { InvalidConfigurationError } from "@sniperoad/core";
-import { z } from "zod";
+import * as z from "zod";
 import { instanceRequest } from "./instance-admin.js";
 
 const liftReplySchema = z.object({ isLifted: z.boolean() });
--- a/packages/operator/src/lib/settings-file.test.ts
+++ b/packages/operator/src/lib/settings-file.test.ts
@@ -1,7 +1,7 @@
 import { InvalidConfigurationError } from "@sniperoad/core";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { z } from "zod";
+import * as z from "zod";
 import { bySchema, parseSettings, readSettings } from "./settings-file.js";
 
 const schema = z.strictObject({
