--- a/packages/gateway/src/lib/fleet/gossip.ts
+++ b/packages/gateway/src/lib/fleet/gossip.ts
@@ -49,6 +49,8 @@
 export class Gossip {
     readonly #options: GossipOptions;
     readonly #contacts: Set<string>;
+    /** Contacts that get the next beat too, although they are not heard yet. */
+    readonly #newContacts = new Set<string>();
     #sequence = 0;
     #lastBeatMs = -Infinity;
     #lastSearchMs = -Infinity;
@@ -89,7 +91,8 @@
     contact(peerAddress: string): void {
         if (peerAddress !== this.#options.self.peerAddress && !this.#options.roster.isHeard(peerAddress)) {
             this.#contacts.add(peerAddress);
-            this.#options.datagrams.send(peerAddress, this.#datagram(this.#newBeat(), false));
+            this.#newContacts.add(peerAddress);
+            this.beatSoon();
         }
     }
 
@@ -120,7 +123,9 @@
         const live = roster.live();
         const near = live.filter(member => member.beat.zone === self.zone);
         const { relays, direct } = this.#split(live.filter(member => member.beat.zone !== self.zone));
-        datagrams.sendAll(addressesOf([...near, ...direct]), this.#datagram(beat, false));
+        const contacts = [...this.#newContacts].filter(address => !roster.isHeard(address));
+        this.#newContacts.clear();
+        datagrams.sendAll([...addressesOf([...near, ...direct]), ...contacts], this.#datagram(beat, false));
         datagrams.sendAll(addressesOf(relays), this.#datagram(beat, true));
     }
 
@@ -192,12 +197,12 @@
         }
     }
 
-    /** Answers an instance that was not heard before with a beat and the addresses of the others. */
+    /** Tells an instance that was not heard before of the others. The next beat tells it of this one. */
     #welcome(beat: Beat): void {
         const { log, datagrams, roster, random } = this.#options;
         const heard = roster.live().length;
         log.event("instance-heard", { peer: beat.id, zone: beat.zone, heard });
-        datagrams.send(beat.peerAddress, this.#datagram(this.#newBeat(), false));
+        this.beatSoon();
         if (random() * heard > welcomesWanted) {
             return;
         }
