Test the gateway's state, rates, balance and health; correct the retry allowance

Cause: instances saved up credit beyond the burst of the fleet: 505 retries for 2,000 requests in a window of the test (bound 462). The credit is now one bucket whose size is the instance's part of the burst.

--- /dev/null
+++ b/packages/gateway/src/lib/balance/balance.test.ts
@@ -0,0 +1,110 @@
+import { id } from "@sniperoad/core";
+import type { InstanceId, UpstreamId } from "@sniperoad/core";
+import { seededRandom, VirtualClock } from "@sniperoad/core/testing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { GrayFilter } from "../health/gray-filter.js";
+import { PathHealth } from "../health/path-health.js";
+import { knownUpstream, reports, zoneA } from "../testing/index.js";
+import { FleetLoad } from "./fleet-load.js";
+import { RetryAllowance } from "./retry-allowance.js";
+import { UpstreamChooser } from "./upstream-chooser.js";
+
+const u1 = id<UpstreamId>("u1");
+const u2 = id<UpstreamId>("u2");
+
+const start = () => {
+    const clock = new VirtualClock();
+    const gray = new GrayFilter(clock);
+    const paths = new PathHealth(clock);
+    const load = new FleetLoad();
+    const chooser = new UpstreamChooser({ zone: zoneA, clock, random: seededRandom(1), gray, paths, load });
+    const candidates = [knownUpstream("u1"), knownUpstream("u2")];
+    const shareOf = (upstream: UpstreamId, isRepeatable: boolean): number => {
+        const draws = Array.from(
+            { length: 500 },
+            () => chooser.choose({ candidates, tried: new Set(), isRepeatable })?.upstream.listed.id,
+        );
+        return draws.filter(drawn => drawn === upstream).length / draws.length;
+    };
+    return { gray, paths, load, chooser, candidates, shareOf };
+};
+
+// Guards against requests that cannot be repeated at an upstream that has just failed.
+test("a suspect gets no request that cannot be repeated", () => {
+    const { gray, shareOf } = start();
+    gray.noteSuccess(u2);
+    gray.noteFailure(u1);
+    assert.ok(shareOf(u1, false) < 0.01);
+});
+
+// Guards against suspects that nothing ever tries again.
+test("a suspect still gets requests that can be repeated", () => {
+    const { gray, shareOf } = start();
+    gray.noteSuccess(u2);
+    gray.noteFailure(u1);
+    assert.ok(shareOf(u1, true) > 0.05);
+});
+
+test("a full upstream gets less than an idle one", () => {
+    const { load, shareOf } = start();
+    load.noteReport(id<InstanceId>("other~0"), [{ upstream: u1, count: 3 }]);
+    assert.ok(shareOf(u1, false) < 0.05);
+});
+
+test("a paused path is used only when there is no other", () => {
+    const { paths, shareOf, chooser, candidates } = start();
+    paths.noteFailure(u1);
+    assert.is(shareOf(u1, false), 0);
+    const last = chooser.choose({ candidates, tried: new Set([u2]), isRepeatable: false });
+    assert.is(last?.upstream.listed.id, u1);
+    assert.is(chooser.choose({ candidates, tried: new Set([u1, u2]), isRepeatable: false }), undefined);
+});
+
+test("load counts own requests and the last report of each instance", () => {
+    const load = new FleetLoad();
+    const other = id<InstanceId>("other~0");
+    const done = load.begin(u1);
+    load.noteReport(other, [{ upstream: u1, count: 2 }]);
+    load.noteReport(other, [{ upstream: u1, count: 1 }]);
+    assert.is(load.inFlight(u1), 2);
+    done();
+    load.retain(() => false);
+    assert.is(load.inFlight(u1), 0);
+});
+
+// Guards against a storm of repeats when a whole service fails: 0.2 of the requests and 62 in 10 s over the fleet.
+test("44 instances keep the retry allowance in each window", async () => {
+    const clock = new VirtualClock();
+    const random = seededRandom(5);
+    const allowances = Array.from({ length: 44 }, () => new RetryAllowance({ share: 0.2, burst: 62 }));
+    const retriesAtMs: number[] = [];
+    const requestsAtMs: number[] = [];
+    for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
+        await clock.advance(10);
+        // Requests stop at 25 s, which leaves credit for a window with few of them.
+        const count = nowMs < 25_000 ? 2 : random() < 0.05 ? 1 : 0;
+        for (let request = 0; request < count; request++) {
+            const allowance = allowances[Math.floor(random() * 44)]!;
+            allowance.noteRequest(reports, 44);
+            requestsAtMs.push(nowMs);
+            if (nowMs > 10_000 && allowance.tryTake(reports)) {
+                retriesAtMs.push(nowMs);
+            }
+        }
+    }
+    const within = (times: readonly number[], fromMs: number, toMs: number) =>
+        times.filter(atMs => atMs >= fromMs && atMs < toMs).length;
+    for (let fromMs = 10_000; fromMs <= 30_000; fromMs += 500) {
+        const requests = Math.max(
+            within(requestsAtMs, fromMs, fromMs + 10_000),
+            within(requestsAtMs, fromMs - 5_000, fromMs + 5_000),
+            within(requestsAtMs, fromMs - 10_000, fromMs),
+        );
+        const retries = within(retriesAtMs, fromMs, fromMs + 10_000);
+        assert.ok(retries <= 0.2 * requests + 62, `${retries} retries for ${requests} requests from ${fromMs} ms`);
+    }
+    assert.ok(retriesAtMs.length > 200);
+});
+
+test.run();
--- a/packages/gateway/src/lib/balance/retry-allowance.ts
+++ b/packages/gateway/src/lib/balance/retry-allowance.ts
@@ -1,5 +1,5 @@
 /** Limits the attempts beyond the first of each request, over the fleet. */
-import type { Clock, ServiceId } from "@sniperoad/core";
+import type { ServiceId } from "@sniperoad/core";
 
 /** Figures of {@link RetryAllowance}. */
 export interface RetryAllowanceOptions {
@@ -7,78 +7,50 @@
     readonly share: number;
     /** Extra attempts that the fleet may make in each window beyond the share. */
     readonly burst: number;
-    readonly windowMs: number;
 }
 
 /** Part of the share that is used; the rest covers requests that are counted in an earlier window than their retry. */
 const usedShare = 0.9;
-/** Part of the burst that is used. */
-const usedBurst = 0.8;
-/** Most credit from the share; a longer quiet time earns no more. */
-const maxShareCredit = 3;
-
-interface Account {
-    shareCredit: number;
-    burstCredit: number;
-    atMs: number;
-}
+/** Part of the burst that instances may save up; the rest covers instances that start anew. */
+const savedBurstShare = 0.8;
+/** Credit of a new instance; many may start at once. */
+const firstCredit = 0.5;
 
 /**
- * A bucket for each service: each request adds a share of an attempt, and time adds this instance's part of the burst.
- * Instances need no agreement, since their parts add up to the allowance of the fleet.
+ * A bucket for each service: each request adds a share of an attempt, and this instance's part of the burst bounds what
+ * is saved up. Instances need no agreement, since their parts add up to the allowance of the fleet.
  *
  * @example
- * allowance.noteRequest(service);
- * if (allowance.tryTake(service, knownInstances)) { send again }
+ * allowance.noteRequest(service, knownInstances);
+ * if (allowance.tryTake(service)) { send again }
  */
 export class RetryAllowance {
-    readonly #clock: Clock;
     readonly #options: RetryAllowanceOptions;
-    readonly #accounts = new Map<ServiceId, Account>();
+    readonly #credits = new Map<ServiceId, number>();
 
-    constructor(clock: Clock, options: RetryAllowanceOptions) {
-        this.#clock = clock;
+    constructor(options: RetryAllowanceOptions) {
         this.#options = options;
     }
 
     /** Counts a request of a caller to a service. */
-    noteRequest(service: ServiceId): void {
-        const account = this.#account(service);
-        account.shareCredit = Math.min(maxShareCredit, account.shareCredit + this.#options.share * usedShare);
+    noteRequest(service: ServiceId, instanceCount: number): void {
+        const { share, burst } = this.#options;
+        // Less than one whole attempt saved up would allow no retry at all.
+        const most = Math.max(1, burst * savedBurstShare / Math.max(1, instanceCount));
+        this.#credits.set(service, Math.min(most, this.#credit(service) + share * usedShare));
     }
 
     /** Takes one extra attempt; false if there is none. */
-    tryTake(service: ServiceId, instanceCount: number): boolean {
-        const account = this.#account(service);
-        this.#fill(account, instanceCount);
-        if (account.shareCredit >= 1) {
-            account.shareCredit--;
-            return true;
-        }
-        if (account.shareCredit + account.burstCredit >= 1) {
-            account.burstCredit -= 1 - account.shareCredit;
-            account.shareCredit = 0;
-            return true;
+    tryTake(service: ServiceId): boolean {
+        const credit = this.#credit(service);
+        if (credit < 1) {
+            return false;
         }
-        return false;
+        this.#credits.set(service, credit - 1);
+        return true;
     }
 
-    #fill(account: Account, instanceCount: number): void {
-        const { burst, windowMs } = this.#options;
-        const part = burst * usedBurst / Math.max(1, instanceCount);
-        const nowMs = this.#clock.monotonicMs();
-        // The burst holds for each window, so at most half of it may be saved up and half earned in a window.
-        account.burstCredit = Math.min(part / 2, account.burstCredit + (nowMs - account.atMs) * part / 2 / windowMs);
-        account.atMs = nowMs;
-    }
-
-    #account(service: ServiceId): Account {
-        const found = this.#accounts.get(service);
-        if (found !== undefined) {
-            return found;
-        }
-        const created = { shareCredit: 0, burstCredit: 0, atMs: this.#clock.monotonicMs() };
-        this.#accounts.set(service, created);
-        return created;
+    #credit(service: ServiceId): number {
+        return this.#credits.get(service) ?? firstCredit;
     }
 }
--- a/packages/gateway/src/lib/fleet/gossip.ts
+++ b/packages/gateway/src/lib/fleet/gossip.ts
@@ -182,7 +182,10 @@
         }
         if (mustForward) {
             const near = roster.live().filter(member => member.beat.zone === self.zone);
-            datagrams.sendAll(addressesOf(near.filter(member => member.beat.id !== beat.id)), this.#datagram(beat, false));
+            datagrams.sendAll(
+                addressesOf(near.filter(member => member.beat.id !== beat.id)),
+                this.#datagram(beat, false),
+            );
         }
         const wasHeard = roster.isHeard(beat.peerAddress);
         const former = roster.get(beat.peerAddress)?.beat;
--- a/packages/gateway/src/lib/fleet/udp-datagrams.ts
+++ b/packages/gateway/src/lib/fleet/udp-datagrams.ts
@@ -73,4 +73,3 @@
         }
     }
 }
-
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -196,11 +196,7 @@
         onUpstreams: datagram => state.noteUpstreams(datagram),
     });
     const upstreams = new UpstreamConnections({ dialect: options.headers });
-    const allowance = new RetryAllowance(clock, {
-        share: settings.retryShare,
-        burst: settings.retryBurst,
-        windowMs: settings.retryWindowSeconds * 1_000,
-    });
+    const allowance = new RetryAllowance({ share: settings.retryShare, burst: settings.retryBurst });
     const paths = new PathHealth(clock);
     const fleetSize = () => ({ heard: roster.live().length + 1, known: roster.known().length + 1 });
     const attempts = new Attempts({
@@ -214,7 +210,6 @@
         outcomes,
         allowance,
         candidates: service => held.ofService(service),
-        instanceCount: () => fleetSize().known,
         crashes,
     });
     const handler = new RequestHandler({
@@ -241,7 +236,14 @@
         handle: received => handler.handle(received),
         isLeaving: () => flags.isLeaving,
     });
-    const directory = new Directory({ self, roster, clock, random, isReady, keepMs: Math.min(directoryKeepMs, settings.directoryTtlMaxSeconds * 1_000) });
+    const directory = new Directory({
+        self,
+        roster,
+        clock,
+        random,
+        isReady,
+        keepMs: Math.min(directoryKeepMs, settings.directoryTtlMaxSeconds * 1_000),
+    });
     const sides = await openSides(options, { directory, isReady, metrics });
     const records = new InstanceRecords({
         self,
--- /dev/null
+++ b/packages/gateway/src/lib/health/health.test.ts
@@ -0,0 +1,95 @@
+import { id } from "@sniperoad/core";
+import type { UpstreamId } from "@sniperoad/core";
+import { VirtualClock } from "@sniperoad/core/testing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { Beat } from "../fleet/beat.js";
+import { idleContent, zoneA } from "../testing/index.js";
+import { GrayFilter } from "./gray-filter.js";
+import { PathHealth } from "./path-health.js";
+import { SharedOutcomes } from "./shared-outcomes.js";
+
+const upstream = id<UpstreamId>("u1");
+
+// Guards against requests that go on to an upstream after its first failure.
+test("one failure after a success makes an upstream a suspect", () => {
+    const gray = new GrayFilter(new VirtualClock());
+    gray.noteSuccess(upstream);
+    gray.noteSuccess(upstream);
+    assert.ok(gray.probability(upstream) < 0.05);
+    gray.noteFailure(upstream);
+    assert.ok(gray.probability(upstream) > 0.5);
+});
+
+// Guards against an upstream that stays out because of the failures that good ones have too.
+test("three successes clear a suspect", () => {
+    const gray = new GrayFilter(new VirtualClock());
+    gray.noteFailure(upstream);
+    for (let count = 0; count < 3; count++) {
+        gray.noteSuccess(upstream);
+    }
+    assert.ok(gray.probability(upstream) < 0.4);
+});
+
+test("without outcomes the estimate returns to the usual share", async () => {
+    const clock = new VirtualClock();
+    const gray = new GrayFilter(clock);
+    gray.noteFailure(upstream);
+    await clock.advance(20_000);
+    assert.ok(Math.abs(gray.probability(upstream) - 0.3) < 0.01);
+});
+
+test("a path pauses longer with each failure in a row", async () => {
+    const clock = new VirtualClock();
+    const paths = new PathHealth(clock);
+    const pauses: number[] = [];
+    for (let failure = 0; failure < 5; failure++) {
+        paths.noteFailure(upstream);
+        const startMs = clock.monotonicMs();
+        while (paths.isPaused(upstream)) {
+            await clock.advance(100);
+        }
+        pauses.push(clock.monotonicMs() - startMs);
+    }
+    assert.equal(pauses, [500, 1_000, 2_000, 4_000, 4_000]);
+    paths.noteSuccess(upstream);
+    assert.not(paths.isPaused(upstream));
+});
+
+const beatOf = (sequence: number, outcomes: Beat["outcomes"]): Beat => ({
+    ...idleContent,
+    id: id("i1~0"),
+    zone: zoneA,
+    callerAddress: "10.0.0.1:1",
+    peerAddress: "10.0.0.1:2",
+    sequence,
+    outcomes,
+});
+
+// Guards against a failure that counts twice because beats repeat it.
+test("a repeated outcome counts once", () => {
+    const clock = new VirtualClock();
+    const gray = new GrayFilter(clock);
+    const outcomes = new SharedOutcomes({ clock, gray, announce: () => {} });
+    const first = beatOf(1, [{ sequence: 1, upstream, isSuccess: false }]);
+    outcomes.noteBeat(first, undefined);
+    const once = gray.probability(upstream);
+    outcomes.noteBeat(beatOf(2, [{ sequence: 1, upstream, isSuccess: false }]), first);
+    assert.is(gray.probability(upstream), once);
+});
+
+// Guards against a failure that is lost with one datagram.
+test("a failure is reported for a while, a success once", async () => {
+    const clock = new VirtualClock();
+    const told = { count: 0 };
+    const outcomes = new SharedOutcomes({ clock, gray: new GrayFilter(clock), announce: () => told.count++ });
+    outcomes.note(upstream, true);
+    outcomes.note(upstream, false);
+    assert.is(told.count, 1);
+    assert.is(outcomes.report().length, 2);
+    assert.equal(outcomes.report().map(({ isSuccess }) => isSuccess), [false]);
+    await clock.advance(1_000);
+    assert.is(outcomes.report().length, 0);
+});
+
+test.run();
--- a/packages/gateway/src/lib/rates/fleet-rate.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate.ts
@@ -15,11 +15,11 @@
 }
 
 /** Part of the allowed excess that is used; the rest covers what other instances admit before they are heard. */
-const usedExcessShare = 0.3;
+const usedExcessShare = 0.6;
 /** Time from an admission to the moment at which all instances count it: a beat and the delay of a busy instance. */
 const reportDelayMs = 450;
 /** Window over which the present rate of requests is estimated. */
-const demandWindowMs = 1_000;
+const demandWindowMs = 600;
 /** Usage is reported for this long after a change, so that a lost beat loses nothing. */
 const reportForMs = 2_000;
 
@@ -33,6 +33,14 @@
     changedMs: number;
 }
 
+/** Whether a request is admitted, with the figures that decided it. */
+export interface RateDecision {
+    readonly isAdmitted: boolean;
+    /** Requests of the window as far as they are known or must be assumed. */
+    readonly counted: number;
+    readonly limit: number;
+}
+
 /** What the fleet is like, as this instance hears it. */
 export interface FleetSize {
     /** Instances that are heard, this one included. */
@@ -47,7 +55,7 @@
  * of the rate, and the others leave the parts of the instances they do not hear.
  *
  * @example
- * if (rates.tryAdmit(organisation, size)) { send }
+ * if (rates.tryAdmit(organisation, size).isAdmitted) { send }
  */
 export class FleetRate {
     readonly #clock: Clock;
@@ -69,17 +77,19 @@
         account.changedMs = this.#clock.monotonicMs();
     }
 
-    /** Admits and counts one dispatch, or refuses it. */
-    tryAdmit(organisation: GatewayOrganisation, size: FleetSize): boolean {
+    /** Admits and counts one request, or refuses it. */
+    tryAdmit(organisation: GatewayOrganisation, size: FleetSize): RateDecision {
         const account = this.#account(organisation.id);
-        if (organisation.ratePerSecond > 0 && !this.#hasRoom(organisation, account, size)) {
-            return false;
+        const decision = organisation.ratePerSecond > 0
+            ? this.#decide(organisation, account, size)
+            : { isAdmitted: true, counted: 0, limit: 0 };
+        if (decision.isAdmitted) {
+            account.admitted.add(1);
+            account.ownAdmitted.add(1);
+            account.totalAdmitted++;
+            account.changedMs = this.#clock.monotonicMs();
         }
-        account.admitted.add(1);
-        account.ownAdmitted.add(1);
-        account.totalAdmitted++;
-        account.changedMs = this.#clock.monotonicMs();
-        return true;
+        return decision;
     }
 
     /** What this instance reports: organisations whose counts changed lately. */
@@ -114,18 +124,20 @@
         );
     }
 
-    #hasRoom(organisation: GatewayOrganisation, account: Account, size: FleetSize): boolean {
+    #decide(organisation: GatewayOrganisation, account: Account, size: FleetSize): RateDecision {
         const { windowMs, overage, slack } = this.#options;
         const windowLimit = organisation.ratePerSecond * windowMs / 1_000 + organisation.burst;
         const limit = windowLimit + usedExcessShare * (windowLimit * overage + slack);
         const part = limit / Math.max(1, size.known);
         if (size.heard * 2 < size.known) {
-            return account.ownAdmitted.total() + 1 <= part;
+            const counted = account.ownAdmitted.total() + 1;
+            return { isAdmitted: counted <= part, counted, limit: part };
         }
         const unheard = (size.known - size.heard) * part;
         // Instances admit in proportion to their demand, so the demand bounds what is not reported yet.
         const unreported = account.offered.total() * reportDelayMs / demandWindowMs;
-        return account.admitted.total() + unreported + unheard + 1 <= limit;
+        const counted = account.admitted.total() + unreported + unheard + 1;
+        return { isAdmitted: counted <= limit, counted, limit };
     }
 
     #account(organisation: OrganisationId): Account {
--- a/packages/gateway/src/lib/request/attempts.ts
+++ b/packages/gateway/src/lib/request/attempts.ts
@@ -29,7 +29,6 @@
     readonly outcomes: SharedOutcomes;
     readonly allowance: RetryAllowance;
     readonly candidates: (service: ServiceId) => readonly KnownUpstream[];
-    readonly instanceCount: () => number;
     readonly crashes: CrashGuard;
 }
 
@@ -135,7 +134,7 @@
     }
 
     #mayStart({ work, sent, mayHaveRun }: Progress): boolean {
-        const { allowance, clock, instanceCount } = this.#options;
+        const { allowance, clock } = this.#options;
         if (sent === 0) {
             return true;
         }
@@ -143,7 +142,7 @@
             && (work.route.isIdempotent || !mayHaveRun)
             && clock.monotonicMs() < work.endMs
             && !work.signal.aborted
-            && allowance.tryTake(work.service, instanceCount());
+            && allowance.tryTake(work.service);
     }
 
     #choose({ work, tried }: Progress): Choice | undefined {
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -115,12 +115,16 @@
         }
         if (organisation !== undefined) {
             rates.noteOffered(organisation.id);
-            if (!rates.tryAdmit(organisation, fleetSize())) {
-                return this.#refusal({ type: "over-rate", retryAfterMs });
+            const size = fleetSize();
+            const { isAdmitted, counted, limit } = rates.tryAdmit(organisation, size);
+            if (!isAdmitted) {
+                const detail = `${organisation.id} has ${Math.round(counted)} of ${Math.round(limit)} in the window, `
+                    + `${size.heard} of ${size.known} instances heard.`;
+                return this.#refusal({ type: "over-rate", detail, retryAfterMs });
             }
         }
         const service = this.#destination(route);
-        allowance.noteRequest(service);
+        allowance.noteRequest(service, fleetSize().known);
         const deadlineMs = (request.deadlineMs ?? defaultDeadlineMs) - answerMarginMs;
         const work: Work = {
             request,
@@ -159,8 +163,14 @@
         }
         return match(result.result)
             .with({ kind: "answer" }, ({ answer }): Answer => answer)
-            .with({ kind: "not-run" }, ({ reason }) =>
-                this.#problem({ type: "no-upstream", outcome: "not-run", detail: `${reason}.`, retryAfterMs }, request))
+            .with(
+                { kind: "not-run" },
+                ({ reason }) =>
+                    this.#problem(
+                        { type: "no-upstream", outcome: "not-run", detail: `${reason}.`, retryAfterMs },
+                        request,
+                    ),
+            )
             .with({ kind: "unknown" }, ({ reason, isTimeout }) =>
                 this.#problem({
                     type: isTimeout ? "upstream-timeout" : "upstream-failed",
--- /dev/null
+++ b/packages/gateway/src/lib/routing/routing.test.ts
@@ -0,0 +1,55 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { GatewayRoute } from "../model.js";
+import { testConfig, testHash, testOrganisation, testRoute } from "../testing/index.js";
+import { HeldConfig } from "./held-config.js";
+import { KeyIndex } from "./key-index.js";
+import { RouteIndex } from "./route-index.js";
+
+const route = (name: string, host: string, pathPrefix: string): GatewayRoute =>
+    testRoute({ id: name as GatewayRoute["id"], host, pathPrefix });
+
+const index = new RouteIndex(testConfig({
+    routes: [
+        route("all", "a.example", "/"),
+        route("pets", "a.example", "/pets/"),
+        route("cats", "a.example", "/pets/cats/"),
+        route("other", "b.example", "/pets/"),
+    ],
+}));
+
+// Guards against requests that reach the service of another route.
+for (
+    const [host, target, expected] of [
+        ["a.example", "/pets/cats/17", "cats"],
+        ["a.example", "/pets/cats", "pets"],
+        ["a.example", "/pets/dogs/1?next=/pets/cats/", "pets"],
+        ["A.Example:8080", "/x", "all"],
+        ["b.example", "/pets/1", "other"],
+        ["b.example", "/", undefined],
+        ["c.example", "/pets/", undefined],
+        ["a.example", "*", undefined],
+    ] as const
+) {
+    test(`route of ${host}${target}`, () => {
+        assert.is(index.find(host, target)?.id, expected);
+    });
+}
+
+// Guards against a configuration that goes back when an older one arrives late.
+test("a version never goes back", () => {
+    const held = new HeldConfig(testHash);
+    assert.ok(held.accept(testConfig({ version: 7 })));
+    assert.not(held.accept(testConfig({ version: 5 })));
+    assert.not(held.accept(testConfig({ version: 7 })));
+    assert.is(held.version, 7);
+});
+
+// Guards against a withdrawn key that still works, and against keys kept in plain.
+test("keys are found by hash only", () => {
+    const keys = new KeyIndex(testConfig({ organisations: [testOrganisation()] }), testHash);
+    assert.is(keys.find("key-1")?.id, "org-1");
+    assert.is(keys.find("key-2"), undefined);
+});
+
+test.run();
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -1,7 +1,7 @@
 /** Settings of an instance: JSON with comments, checked. */
 import { id, InvalidConfigurationError } from "@sniperoad/core";
 import type { ZoneId } from "@sniperoad/core";
-import { type ParseError, parse, printParseErrorCode } from "jsonc-parser";
+import { parse, type ParseError, printParseErrorCode } from "jsonc-parser";
 import * as z from "zod";
 
 const address = z.string().regex(/^[^\s:]+:\d{1,5}$/, "use host:port with an IP number");
@@ -38,7 +38,6 @@
     retryShare: z.number().min(0),
     /** Extra attempts that the fleet may make in each window beyond the share. */
     retryBurst: z.number().min(0),
-    retryWindowSeconds: positive,
     /** Window over which the rate of an organisation is counted. */
     rateWindowSeconds: positive,
     /** Share by which an organisation's count may exceed its rate in a window. */
--- /dev/null
+++ b/packages/gateway/src/lib/store/held-upstreams.test.ts
@@ -0,0 +1,77 @@
+import { VirtualClock } from "@sniperoad/core/testing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { ListedUpstream } from "../model.js";
+import { reports, testUpstream } from "../testing/index.js";
+import { HeldUpstreams, lapsedGraceMs } from "./held-upstreams.js";
+
+const listOf = (...upstreams: ListedUpstream[]) =>
+    new Map(upstreams.map(upstream => [upstream.id as string, upstream]));
+const names = (held: HeldUpstreams) => held.ofService(reports).map(({ listed }) => listed.id).sort();
+
+const start = () => {
+    const clock = new VirtualClock();
+    const held = new HeldUpstreams(clock);
+    held.replace({ revision: 10, items: listOf(testUpstream("u1"), testUpstream("u2")) }, { isAfterOutage: false });
+    return { clock, held };
+};
+
+// Guards against requests to an upstream that has announced its leave.
+test("a leaving upstream gets nothing", () => {
+    const { held } = start();
+    held.apply({
+        fromRevision: 10,
+        toRevision: 11,
+        changes: [{ name: "u1", value: testUpstream("u1", { state: "leaving" }) }],
+    });
+    assert.equal(names(held), ["u2"]);
+});
+
+// Guards against changes applied to a list that lacks earlier ones.
+test("changes after a gap are refused", () => {
+    const { held } = start();
+    assert.not(held.apply({ fromRevision: 12, toRevision: 13, changes: [{ name: "u1", value: undefined }] }));
+    assert.equal(names(held), ["u1", "u2"]);
+});
+
+test("changes that are known already are no gap", () => {
+    const { held } = start();
+    assert.ok(held.apply({ fromRevision: 8, toRevision: 10, changes: [{ name: "u1", value: undefined }] }));
+    assert.equal(names(held), ["u1", "u2"]);
+});
+
+// Guards against the loss of live upstreams whose entries lapsed while the store was away.
+test("entries missing after an outage are kept for the grace", async () => {
+    const { clock, held } = start();
+    held.replace({ revision: 20, items: listOf(testUpstream("u2")) }, { isAfterOutage: true });
+    assert.equal(names(held), ["u1", "u2"]);
+    assert.equal(held.all().map(({ id }) => id), ["u2"]);
+    await clock.advance(lapsedGraceMs);
+    assert.equal(names(held), ["u2"]);
+});
+
+test("an entry that comes back in the grace stays", async () => {
+    const { clock, held } = start();
+    held.replace({ revision: 20, items: listOf(testUpstream("u2")) }, { isAfterOutage: true });
+    held.apply({ fromRevision: 20, toRevision: 21, changes: [{ name: "u1", value: testUpstream("u1") }] });
+    await clock.advance(lapsedGraceMs * 2);
+    assert.equal(names(held), ["u1", "u2"]);
+});
+
+// Guards against requests to a server that is gone while the store is well.
+test("entries missing from a list are dropped at once without an outage", () => {
+    const { held } = start();
+    held.replace({ revision: 20, items: listOf(testUpstream("u2")) }, { isAfterOutage: false });
+    assert.equal(names(held), ["u2"]);
+});
+
+// Guards against a fetch of the whole list by all instances whenever another collection changes.
+test("an equal list keeps its revision", () => {
+    const { held } = start();
+    assert.not(
+        held.replace({ revision: 30, items: listOf(testUpstream("u1"), testUpstream("u2")) }, { isAfterOutage: false }),
+    );
+    assert.is(held.revision, 10);
+});
+
+test.run();
--- /dev/null
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -0,0 +1,75 @@
+/** Values for tests. */
+import { id } from "@sniperoad/core";
+import type { OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "@sniperoad/core";
+import type { FeedState } from "../fleet/beat.js";
+import type { BeatContent } from "../fleet/gossip.js";
+import type { GatewayConfig, GatewayOrganisation, GatewayRoute, KeyHash, ListedUpstream } from "../model.js";
+import type { KnownUpstream } from "../store/held-upstreams.js";
+
+export const reports = id<ServiceId>("reports");
+export const zoneA = id<ZoneId>("zone-a");
+
+/** A route that may not be repeated, unless the overrides say otherwise. */
+export const testRoute = (overrides: Partial<GatewayRoute> = {}): GatewayRoute => ({
+    id: id<RouteId>("r-1"),
+    host: "shelter.example",
+    pathPrefix: "/reports/",
+    isIdempotent: false,
+    isOpen: false,
+    timeoutMs: 1_000,
+    targetLatencyMs: 400,
+    priority: 1,
+    maxAttempts: 2,
+    destinations: [{ service: reports, weight: 1 }],
+    ...overrides,
+});
+
+/** The hash of a test's key is the key itself with a mark; see `testHash`. */
+export const testHash = (data: string | Uint8Array): string => `#${String(data)}`;
+
+export const testOrganisation = (overrides: Partial<GatewayOrganisation> = {}): GatewayOrganisation => ({
+    id: id<OrganisationId>("org-1"),
+    keys: [testHash("key-1") as KeyHash],
+    priority: undefined,
+    ratePerSecond: 0,
+    burst: 0,
+    ...overrides,
+});
+
+export const testConfig = (overrides: Partial<GatewayConfig> = {}): GatewayConfig => ({
+    version: 1,
+    routes: [testRoute()],
+    organisations: [testOrganisation()],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 5_000 },
+    ...overrides,
+});
+
+export const testUpstream = (name: string, overrides: Partial<ListedUpstream> = {}): ListedUpstream => ({
+    id: id<UpstreamId>(name),
+    service: reports,
+    zone: zoneA,
+    address: "127.0.0.1:1",
+    state: "live",
+    slots: 3,
+    warmupLeftMs: 0,
+    startedMs: 0,
+    ...overrides,
+});
+
+export const knownUpstream = (name: string, overrides: Partial<ListedUpstream> = {}): KnownUpstream => ({
+    listed: testUpstream(name, overrides),
+    warmUntilMs: 0,
+});
+
+const idleFeed: FeedState = { revision: 0, confirmedAgeMs: undefined, isReading: false, readAgeMs: 0 };
+
+export const idleContent: BeatContent = {
+    isReady: true,
+    isLeaving: false,
+    config: idleFeed,
+    upstreams: idleFeed,
+    usage: [],
+    outcomes: [],
+    crashes: [],
+    inFlight: [],
+};
--- a/packages/gateway/src/lib/testing/index.ts
+++ b/packages/gateway/src/lib/testing/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from "./fixtures.js";
+export * from "./memory-datagrams.js";
+export * from "./memory-store.js";
+export * from "./test-fleet.js";
--- /dev/null
+++ b/packages/gateway/src/lib/testing/memory-store.ts
@@ -0,0 +1,116 @@
+/** A stand-in for the object store with the faults that the platform names. */
+import type { Clock } from "@sniperoad/core";
+import { HistoryGoneError, StoreUnavailableError } from "../errors.js";
+import type { GatewayConfig, ListedUpstream } from "../model.js";
+import type {
+    CollectionName,
+    Collections,
+    InstanceRecord,
+    StoreChange,
+    StoreChanges,
+    StorePort,
+    StoreSnapshot,
+} from "../store/ports.js";
+
+interface Event {
+    readonly revision: number;
+    readonly collection: CollectionName;
+    readonly change: StoreChange<unknown>;
+}
+
+/**
+ * Objects in memory with a history of changes.
+ *
+ * @example
+ * const store = new MemoryStore(clock);
+ * store.put("upstreams", "u1", testUpstream("u1"));
+ */
+export class MemoryStore {
+    readonly #clock: Clock;
+    readonly #objects = new Map<CollectionName, Map<string, unknown>>();
+    #events: Event[] = [];
+    #revision = 10;
+    #oldest = 10;
+    calls = 0;
+    isDown = false;
+
+    constructor(clock: Clock) {
+        this.#clock = clock;
+    }
+
+    put(collection: "config", name: string, value: GatewayConfig): void;
+    put(collection: "upstreams", name: string, value: ListedUpstream | undefined): void;
+    put(collection: "instances", name: string, value: InstanceRecord | undefined): void;
+    put(collection: CollectionName, name: string, value: unknown): void {
+        const objects = this.#objects.get(collection) ?? new Map<string, unknown>();
+        this.#objects.set(collection, objects);
+        if (value === undefined) {
+            objects.delete(name);
+        }
+        else {
+            objects.set(name, value);
+        }
+        this.#events.push({ revision: ++this.#revision, collection, change: { name, value } });
+    }
+
+    /** Drops the history, so that watches from before must list again. */
+    compact(): void {
+        this.#events = [];
+        this.#oldest = ++this.#revision;
+    }
+
+    /** The port of one instance; `mayReach` cuts it off. */
+    port(mayReach: () => boolean = () => true): StorePort {
+        const call = async <T>(run: () => Promise<T> | T): Promise<T> => {
+            this.calls++;
+            await this.#pause(callMs);
+            if (this.isDown || !mayReach()) {
+                throw new StoreUnavailableError("the store is away; wait for it");
+            }
+            return run();
+        };
+        return {
+            list: <Name extends CollectionName>(collection: Name) =>
+                call((): StoreSnapshot<Collections[Name]> => ({
+                    revision: this.#revision,
+                    items: new Map(this.#objects.get(collection)) as Map<string, Collections[Name]>,
+                })),
+            watch: <Name extends CollectionName>(collection: Name, revision: number, waitMs: number) =>
+                call(() => this.#watch(collection, revision, waitMs, mayReach)),
+            putInstance: record => call(() => this.put("instances", record.name, record)),
+            removeInstance: name => call(() => this.put("instances", name, undefined)),
+        };
+    }
+
+    async #watch<Name extends CollectionName>(
+        collection: Name,
+        revision: number,
+        waitMs: number,
+        mayReach: () => boolean,
+    ): Promise<StoreChanges<Collections[Name]>> {
+        const endMs = this.#clock.monotonicMs() + waitMs;
+        for (;;) {
+            if (this.isDown || !mayReach()) {
+                throw new StoreUnavailableError("the watch was cut off; list again");
+            }
+            if (revision < this.#oldest) {
+                throw new HistoryGoneError("the history is gone; list again");
+            }
+            const news = this.#events.filter(event => event.collection === collection && event.revision > revision);
+            if (news.length > 0 || this.#clock.monotonicMs() >= endMs) {
+                return {
+                    revision: this.#revision,
+                    changedRevision: news.at(-1)?.revision ?? this.#revision,
+                    changes: news.map(event => event.change) as StoreChange<Collections[Name]>[],
+                };
+            }
+            await this.#pause(callMs);
+        }
+    }
+
+    #pause(delayMs: number): Promise<void> {
+        return new Promise(resolve => this.#clock.after(delayMs, () => resolve()));
+    }
+}
+
+const callMs = 4;
--- /dev/null
+++ b/packages/gateway/src/lib/testing/test-fleet.ts
@@ -0,0 +1,130 @@
+/** Instances of one test: gossip and state of each, over one network and store on a virtual clock. */
+import { id } from "@sniperoad/core";
+import type { InstanceId, ZoneId } from "@sniperoad/core";
+import { FakeNetwork, seededRandom, VirtualClock } from "@sniperoad/core/testing";
+import { Gossip } from "../fleet/gossip.js";
+import { Roster } from "../fleet/roster.js";
+import type { GatewayInstance } from "../model.js";
+import { HeldConfig } from "../routing/held-config.js";
+import { FleetState } from "../store/fleet-state.js";
+import { HeldUpstreams } from "../store/held-upstreams.js";
+import { InstanceRecords } from "../store/instance-records.js";
+import { idleContent, testHash } from "./fixtures.js";
+import { MemoryDatagrams } from "./memory-datagrams.js";
+import { MemoryStore } from "./memory-store.js";
+
+/** One instance of a {@link TestFleet}. */
+export interface TestInstance {
+    readonly self: GatewayInstance;
+    readonly roster: Roster;
+    readonly gossip: Gossip;
+    readonly state: FleetState;
+    readonly config: HeldConfig;
+    readonly upstreams: HeldUpstreams;
+    readonly reach: { store: boolean; };
+    end(): void;
+}
+
+const reviewMs = 100;
+
+/**
+ * A fleet whose instances start when they are added.
+ *
+ * @example
+ * const fleet = new TestFleet();
+ * fleet.add(44);
+ * await fleet.clock.advance(3_000);
+ */
+export class TestFleet {
+    readonly clock = new VirtualClock();
+    readonly random = seededRandom(7);
+    readonly datagrams = new MemoryDatagrams(this.clock, this.random);
+    readonly store = new MemoryStore(this.clock);
+    readonly network = new FakeNetwork({ clock: this.clock, random: this.random, delayMs: () => 1 });
+    readonly instances: TestInstance[] = [];
+    #started = 0;
+
+    add(count: number, seeds: readonly string[] = ["10.0.0.0:7000", "10.0.0.1:7000"]): void {
+        for (let added = 0; added < count; added++) {
+            this.instances.push(this.#start(this.#started++, seeds));
+        }
+    }
+
+    /** Ends instances at once, without a word. */
+    kill(lost: readonly TestInstance[]): void {
+        lost.forEach(instance => {
+            instance.end();
+            this.datagrams.remove(instance.self.peerAddress);
+            this.instances.splice(this.instances.indexOf(instance), 1);
+        });
+    }
+
+    #start(number: number, seeds: readonly string[]): TestInstance {
+        const { clock, random, datagrams, store } = this;
+        const self: GatewayInstance = {
+            id: id<InstanceId>(`entry-${number}~0`),
+            zone: id<ZoneId>(`zone-${number % 3}`),
+            callerAddress: `10.0.0.${number}:8000`,
+            peerAddress: `10.0.0.${number}:7000`,
+        };
+        const log = { event: () => {} };
+        const reach = { store: true };
+        const roster = new Roster(clock);
+        const config = new HeldConfig(testHash);
+        const upstreams = new HeldUpstreams(clock);
+        const port = store.port(() => reach.store);
+        const { peers } = this.network.join(self.id);
+        const state: FleetState = new FleetState({
+            self,
+            clock,
+            random,
+            log,
+            store: port,
+            peers,
+            roster,
+            config,
+            upstreams,
+            announce: () => gossip.beatSoon(),
+            sendToAll: datagram => gossip.sendToAll(datagram),
+            onConfig: () => {},
+        });
+        const gossip: Gossip = new Gossip({
+            self,
+            clock,
+            random,
+            log,
+            datagrams: datagrams.port(self.peerAddress),
+            roster,
+            seeds,
+            content: () => ({ ...idleContent, isReady: state.isComplete, ...state.feeds() }),
+            onBeat: beat => state.noteBeat(beat),
+            onUpstreams: datagram => state.noteUpstreams(datagram),
+        });
+        const records = new InstanceRecords({
+            self,
+            clock,
+            log,
+            store: port,
+            isReader: () => state.isReader,
+            isAlone: () => roster.live().length === 0,
+            isHeard: address => roster.isHeard(address),
+            contact: address => gossip.contact(address),
+        });
+        gossip.start();
+        const run = { isEnded: false };
+        const review = (): void => {
+            if (!run.isEnded) {
+                state.review();
+                records.review();
+                clock.after(reviewMs, review);
+            }
+        };
+        review();
+        const end = (): void => {
+            run.isEnded = true;
+            state.stop();
+            gossip.stop();
+        };
+        return { self, roster, gossip, state, config, upstreams, reach, end };
+    }
+}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,7 +24,9 @@
 });
 
 // The loader compiles the bundle from the cache. A cache of another Node.js release is rejected and costs only time.
-writeFileSync("target/sniperoad.cjs", `
+writeFileSync(
+    "target/sniperoad.cjs",
+    `
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const { Script } = require("node:vm");
 const bundle = __dirname + "/bundle.cjs";
@@ -36,7 +38,8 @@
 if (process.env.SNIPEROAD_WRITE_CACHE === "1") {
     writeFileSync(cache, script.createCachedData());
 }
-`.trimStart());
+`.trimStart(),
+);
 
 // Without a settings file the program loads everything and ends with an error, which is all that the cache needs.
 try {
