Reload settings, serve metrics on an address of their own, split the wiring; test the adapter and the HTTP sides

The file of settings is read at SIGHUP and every 2 s; a bad one leaves the former in force and is logged with its field.

--- a/packages/gateway/src/lib/balance/balance.test.ts
+++ b/packages/gateway/src/lib/balance/balance.test.ts
@@ -77,7 +77,7 @@
 test("44 instances keep the retry allowance in each window", async () => {
     const clock = new VirtualClock();
     const random = seededRandom(5);
-    const allowances = Array.from({ length: 44 }, () => new RetryAllowance({ share: 0.2, burst: 62 }));
+    const allowances = Array.from({ length: 44 }, () => new RetryAllowance(() => ({ share: 0.2, burst: 62 })));
     const retriesAtMs: number[] = [];
     const requestsAtMs: number[] = [];
     for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
--- a/packages/gateway/src/lib/balance/retry-allowance.ts
+++ b/packages/gateway/src/lib/balance/retry-allowance.ts
@@ -25,16 +25,16 @@
  * if (allowance.tryTake(service)) { send again }
  */
 export class RetryAllowance {
-    readonly #options: RetryAllowanceOptions;
+    readonly #options: () => RetryAllowanceOptions;
     readonly #credits = new Map<ServiceId, number>();
 
-    constructor(options: RetryAllowanceOptions) {
+    constructor(options: () => RetryAllowanceOptions) {
         this.#options = options;
     }
 
     /** Counts a request of a caller to a service. */
     noteRequest(service: ServiceId, instanceCount: number): void {
-        const { share, burst } = this.#options;
+        const { share, burst } = this.#options();
         // Less than one whole attempt saved up would allow no retry at all.
         const most = Math.max(1, burst * savedBurstShare / Math.max(1, instanceCount));
         this.#credits.set(service, Math.min(most, this.#credit(service) + share * usedShare));
--- /dev/null
+++ b/packages/gateway/src/lib/fleet/fleet.test.ts
@@ -0,0 +1,139 @@
+import { id } from "@sniperoad/core";
+import type { InstanceId, ZoneId } from "@sniperoad/core";
+import { seededRandom, VirtualClock } from "@sniperoad/core/testing";
+import { Encoder } from "cbor-x";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { idleContent, TestFleet, zoneA } from "../testing/index.js";
+import type { Beat } from "./beat.js";
+import { decodeDatagram, encodeDatagram } from "./datagrams.js";
+import { Directory, maxDirectoryAddresses } from "./directory.js";
+import { downAfterMs, Roster } from "./roster.js";
+
+const beatOf = (number: number, changed: Partial<Beat> = {}): Beat => ({
+    ...idleContent,
+    id: id<InstanceId>(`i${number}~0`),
+    zone: number % 2 === 0 ? zoneA : id<ZoneId>("zone-b"),
+    callerAddress: `10.0.0.${number}:1`,
+    peerAddress: `10.0.0.${number}:2`,
+    sequence: 1,
+    ...changed,
+});
+
+test("a datagram is read as it was written", () => {
+    const beat = beatOf(1, {
+        usage: [{ organisation: id("org-1"), admitted: 3, offered: 4 }],
+        outcomes: [{ sequence: 7, upstream: id("u1"), isSuccess: false }],
+        inFlight: [{ upstream: id("u1"), count: 2 }],
+        crashes: [{ sequence: 1, fingerprint: "f", upstream: id("u1") }],
+    });
+    for (
+        const datagram of [
+            { kind: "beat", beat, mustForward: true },
+            { kind: "members", addresses: ["10.0.0.1:2"] },
+            { kind: "upstreams", fromRevision: 1, toRevision: 2, changes: [{ name: "u1", value: { a: 1 } }] },
+        ] as const
+    ) {
+        assert.equal(decodeDatagram(encodeDatagram(datagram)), datagram);
+    }
+});
+
+// Guards against an instance that ends because of what arrives on its port.
+const encoder = new Encoder({ useRecords: false });
+for (
+    const [name, bytes] of [
+        ["no bytes", Buffer.alloc(0)],
+        ["text", Buffer.from("GET / HTTP/1.1")],
+        ["another version", encoder.encode([99, ["members", []]])],
+        ["another kind", encoder.encode([1, ["else", []]])],
+        ["a cut beat", encodeDatagram({ kind: "beat", beat: beatOf(1), mustForward: false }).subarray(0, 40)],
+        ["a mistyped field", encoder.encode([1, ["members", [7]]])],
+    ] as const
+) {
+    test(`a datagram of ${name} is an error that names the remedy`, () => {
+        assert.throws(() => decodeDatagram(bytes), (error: Error) => /check|run the same release/.test(error.message));
+    });
+}
+
+const directoryOf = (options: { readonly isReady?: boolean; } = {}) => {
+    const clock = new VirtualClock();
+    const roster = new Roster(clock);
+    const directory = new Directory({
+        self: beatOf(0),
+        roster,
+        clock,
+        random: seededRandom(1),
+        isReady: () => options.isReady ?? true,
+        keepMs: 1_000,
+    });
+    return { clock, roster, directory };
+};
+
+// Guards against callers that are sent to an instance that is down, leaving or not ready.
+test("the directory names only instances that serve", async () => {
+    const { clock, roster, directory } = directoryOf();
+    roster.note(beatOf(2));
+    await clock.advance(downAfterMs + 1);
+    [4, 6, 8].forEach(number => roster.note(beatOf(number)));
+    roster.note(beatOf(10, { isLeaving: true }));
+    roster.note(beatOf(12, { isReady: false }));
+    const { addresses } = directory.answer(zoneA);
+    assert.equal([...addresses].sort(), ["10.0.0.0:1", "10.0.0.4:1", "10.0.0.6:1", "10.0.0.8:1"]);
+});
+
+test("the directory prefers the caller's zone if it has enough instances", () => {
+    const { roster, directory } = directoryOf();
+    [1, 2, 3, 4, 5, 6].forEach(number => roster.note(beatOf(number)));
+    assert.is(directory.answer(zoneA).addresses.length, 4);
+    assert.is(directory.answer(id<ZoneId>("zone-b")).addresses.length, 7);
+});
+
+// Guards against an instance that is cut off and sends all callers to itself.
+test("an instance that hears few of the others still names them", async () => {
+    const { clock, roster, directory } = directoryOf();
+    [2, 4, 6, 8, 10].forEach(number => roster.note(beatOf(number)));
+    await clock.advance(downAfterMs + 1);
+    roster.note(beatOf(12));
+    assert.is(directory.answer(zoneA).addresses.length, 7);
+});
+
+test("a large fleet is named in part", () => {
+    const { roster, directory } = directoryOf({ isReady: false });
+    for (let number = 1; number < 200; number++) {
+        roster.note(beatOf(number));
+    }
+    assert.is(directory.answer(undefined).addresses.length, maxDirectoryAddresses);
+});
+
+// Guards against traffic between zones that grows with the square of the fleet.
+test("a beat crosses to each other zone once", async () => {
+    const fleet = new TestFleet();
+    fleet.add(30);
+    await fleet.clock.advance(4_000);
+    const crossing = { count: 0 };
+    const zoneOf = (address: string) => Number(address.split(/[.:]/)[3]) % 3;
+    fleet.datagrams.mayPass = (from, to) => {
+        crossing.count += zoneOf(from) === zoneOf(to) ? 0 : 1;
+        return true;
+    };
+    await fleet.clock.advance(4_000);
+    // 30 instances, 10 beats in 4 s, 2 other zones; jitter makes the number of beats vary by a tenth.
+    assert.ok(crossing.count <= 30 * 10 * 2 * 1.15, `${crossing.count} datagrams between zones`);
+});
+
+// Guards against instances that count as down because a relay lost some of their beats.
+test("a tenth of the datagrams may be lost", async () => {
+    const fleet = new TestFleet();
+    fleet.add(30);
+    await fleet.clock.advance(4_000);
+    fleet.datagrams.lossShare = 0.1;
+    const heard: number[] = [];
+    for (let step = 0; step < 50; step++) {
+        await fleet.clock.advance(100);
+        heard.push(...fleet.instances.map(({ roster }) => roster.live().length));
+    }
+    const missing = heard.filter(count => count < 29).length / heard.length;
+    assert.ok(missing < 0.1, `${missing} of the views lack an instance`);
+});
+
+test.run();
--- /dev/null
+++ b/packages/gateway/src/lib/http/front-server.test.ts
@@ -0,0 +1,166 @@
+import type { Answer } from "@sniperoad/core";
+import { systemClock } from "@sniperoad/daemon";
+import { createConnection, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { DecodedRequest } from "../model.js";
+import type { ReceivedRequest } from "../request/request-handler.js";
+import { FrontServer } from "./front-server.js";
+
+const freePort = (): Promise<number> =>
+    new Promise(resolve => {
+        const server = createServer().listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+
+const limits = { maxHeaderBytes: 500, maxBodyBytes: 100, headerTimeoutMs: 2_000, idleTimeoutMs: 2_000 };
+
+interface Setup {
+    readonly port: number;
+    readonly server: FrontServer;
+    readonly flags: { isLeaving: boolean; };
+}
+
+const withServer = async (
+    handle: (received: ReceivedRequest) => Promise<Answer | undefined>,
+    run: (setup: Setup) => Promise<void>,
+): Promise<void> => {
+    const port = await freePort();
+    const flags = { isLeaving: false };
+    const server = await FrontServer.open({
+        clock: systemClock,
+        log: { event: () => {} },
+        address: `127.0.0.1:${port}`,
+        dialect: {
+            decodeRequest: (method, target, headers): DecodedRequest => ({
+                requestId: undefined,
+                host: "",
+                method,
+                target,
+                headers,
+                key: undefined,
+                deadlineMs: undefined,
+            }),
+        },
+        limits: () => limits,
+        handle,
+        isLeaving: () => flags.isLeaving,
+    });
+    try {
+        await run({ port, server, flags });
+    }
+    finally {
+        await server.close();
+    }
+};
+
+/** Sends bytes on a connection of its own and returns all that comes back until the server closes it. */
+const exchange = (port: number, text: string): Promise<string> =>
+    new Promise(resolve => {
+        const socket = createConnection({ host: "127.0.0.1", port });
+        let received = "";
+        socket.on("data", data => received += String(data));
+        socket.on("close", () => resolve(received));
+        socket.on("error", () => {});
+        socket.write(text);
+    });
+
+const get = (target: string, more = ""): string =>
+    `GET ${target} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n${more}\r\n`;
+const echo = (received: ReceivedRequest): Promise<Answer> =>
+    Promise.resolve({
+        status: 200,
+        headers: [["server-seal", "s"], ["transfer-encoding", "chunked"]],
+        body: Buffer.from(`${received.request.method} ${received.request.target} ${received.body?.length ?? "none"}`),
+    });
+
+// Guards against a path that is normalised on the way.
+test("method, target and body arrive unchanged", () =>
+    withServer(echo, async ({ port }) => {
+        const target = "/a//b/../c%2Fd?x=%20&y";
+        assert.match(await exchange(port, get(target)), new RegExp(`GET ${target.replace(/[.?]/g, "\\$&")} 0$`));
+        const chunked =
+            "PUT /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        assert.match(await exchange(port, chunked), /PUT \/x 3$/);
+    }));
+
+test("an answer keeps the upstream's fields and has its own framing", () =>
+    withServer(echo, async ({ port }) => {
+        const answer = await exchange(port, get("/"));
+        assert.match(answer, /server-seal: s/i);
+        assert.not(/transfer-encoding/i.test(answer));
+        assert.match(answer, /content-length: 7/i);
+    }));
+
+// Guards against requests smuggled inside others, and against input beyond the limits.
+for (
+    const [name, text, status] of [
+        [
+            "two kinds of length",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ],
+        ["no HTTP", "hello\r\n\r\n", 400],
+        ["a large header", get("/", `X: ${"x".repeat(600)}\r\n`), 431],
+        [
+            "a body beyond the limit",
+            `POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 101\r\n\r\n${"x".repeat(101)}`,
+            200,
+        ],
+    ] as const
+) {
+    test(`${name} gets ${status}`, () =>
+        withServer(echo, async ({ port }) => {
+            const answer = await exchange(port, text);
+            assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `));
+            assert.is(answer.endsWith("none"), name === "a body beyond the limit");
+        }));
+}
+
+// Guards against work at upstreams for callers that have gone.
+test("a caller that goes away aborts its request", () => {
+    const aborted = new Promise<void>(resolve => {
+        void withServer(received =>
+            new Promise(done =>
+                received.signal.addEventListener("abort", () => {
+                    resolve();
+                    done(undefined);
+                })
+            ), ({ port }) =>
+            new Promise(close => {
+                const socket = createConnection({ host: "127.0.0.1", port });
+                socket.write(get("/"));
+                setTimeout(() => {
+                    socket.destroy();
+                    close();
+                }, 50);
+            }));
+    });
+    return aborted;
+});
+
+test("a leaving instance tells callers to use another connection", () =>
+    withServer(echo, async ({ port, flags }) => {
+        flags.isLeaving = true;
+        assert.match(await exchange(port, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"), /connection: close/i);
+    }));
+
+// Guards against a graceful stop that cuts requests.
+test("closing waits for requests that are being handled", () => {
+    const ended: string[] = [];
+    return withServer(async received => {
+        await new Promise(resolve => setTimeout(resolve, 100));
+        return echo(received);
+    }, async ({ port, server }) => {
+        const answer = exchange(port, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n").then(text => ended.push(text));
+        await new Promise(resolve => setTimeout(resolve, 30));
+        await server.close();
+        await answer;
+        assert.match(ended[0] ?? "", /GET \/late 0$/);
+    });
+});
+
+test.run();
--- a/packages/gateway/src/lib/rates/fleet-rate.test.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate.test.ts
@@ -31,7 +31,7 @@
     const random = seededRandom(3);
     const instances = Array.from({ length: instanceCount }, (_, index) => ({
         id: id<InstanceId>(`i${index}~0`),
-        rates: new FleetRate(clock, { windowMs, overage, slack }),
+        rates: new FleetRate(clock, () => ({ windowMs, overage, slack })),
         phaseMs: Math.floor(random() * 400),
         size: (): FleetSize => ({
             heard: isCut(index) ? 1 : instances.filter((_entry, other) => !isCut(other)).length,
--- a/packages/gateway/src/lib/rates/fleet-rate.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate.ts
@@ -6,7 +6,7 @@
 
 /** Figures of {@link FleetRate}. */
 export interface FleetRateOptions {
-    /** Window over which requests are counted. */
+    /** Window over which requests are counted; a change holds for organisations that are seen later. */
     readonly windowMs: number;
     /** Share of the limit by which the count may exceed it. */
     readonly overage: number;
@@ -59,12 +59,12 @@
  */
 export class FleetRate {
     readonly #clock: Clock;
-    readonly #options: FleetRateOptions;
+    readonly #options: () => FleetRateOptions;
     readonly #accounts = new Map<OrganisationId, Account>();
     /** Last totals of each instance and organisation. */
     readonly #reported = new Map<InstanceId, Map<OrganisationId, OrganisationUsage>>();
 
-    constructor(clock: Clock, options: FleetRateOptions) {
+    constructor(clock: Clock, options: () => FleetRateOptions) {
         this.#clock = clock;
         this.#options = options;
     }
@@ -125,7 +125,7 @@
     }
 
     #decide(organisation: GatewayOrganisation, account: Account, size: FleetSize): RateDecision {
-        const { windowMs, overage, slack } = this.#options;
+        const { windowMs, overage, slack } = this.#options();
         const windowLimit = organisation.ratePerSecond * windowMs / 1_000 + organisation.burst;
         const limit = windowLimit + usedExcessShare * (windowLimit * overage + slack);
         const part = limit / Math.max(1, size.known);
@@ -145,7 +145,7 @@
         if (found !== undefined) {
             return found;
         }
-        const { windowMs } = this.#options;
+        const { windowMs } = this.#options();
         const created: Account = {
             // An admission is counted later than it was made; the longer window makes up for that.
             admitted: new UsageWindow(this.#clock, windowMs + reportDelayMs),
--- /dev/null
+++ b/packages/gateway/src/lib/request/attempts.test.ts
@@ -0,0 +1,186 @@
+import { id } from "@sniperoad/core";
+import type { OrganisationId, UpstreamId } from "@sniperoad/core";
+import { seededRandom, VirtualClock } from "@sniperoad/core/testing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FleetLoad } from "../balance/fleet-load.js";
+import { RetryAllowance } from "../balance/retry-allowance.js";
+import { UpstreamChooser } from "../balance/upstream-chooser.js";
+import { GrayFilter } from "../health/gray-filter.js";
+import { PathHealth } from "../health/path-health.js";
+import { SharedOutcomes } from "../health/shared-outcomes.js";
+import type { AnswerMarks } from "../model.js";
+import { knownUpstream, reports, testRoute, zoneA } from "../testing/index.js";
+import { Attempts } from "./attempts.js";
+import type { Work } from "./attempts.js";
+import { CrashGuard } from "./crash-guard.js";
+import type { CallResult, UpstreamCall } from "./ports.js";
+
+const marks: AnswerMarks = {
+    requestId: undefined,
+    isNotRun: false,
+    isMisdirected: false,
+    isVouched: true,
+    isEncoded: false,
+    load: undefined,
+};
+
+const answer = (status: number, changed: Partial<AnswerMarks> = {}): CallResult => ({
+    kind: "answer",
+    answer: { status, headers: [], body: new Uint8Array(0), marks: { ...marks, ...changed } },
+});
+
+interface Script {
+    /** Result of each call in turn; the time until it comes. */
+    readonly results: readonly (readonly [result: CallResult, afterMs?: number])[];
+    readonly isIdempotent?: boolean;
+    readonly maxAttempts?: number;
+    readonly isDown?: boolean;
+}
+
+const play = async ({ results, isIdempotent = false, maxAttempts = 2, isDown = false }: Script) => {
+    const clock = new VirtualClock();
+    const calls: UpstreamCall[] = [];
+    const gray = new GrayFilter(clock);
+    const paths = new PathHealth(clock);
+    const load = new FleetLoad();
+    const crashes = new CrashGuard({ clock, announce: () => {} });
+    const allowance = new RetryAllowance(() => ({ share: 1, burst: 1_000 }));
+    allowance.noteRequest(reports, 1);
+    allowance.noteRequest(reports, 1);
+    const attempts = new Attempts({
+        clock,
+        log: { event: () => {} },
+        caller: {
+            call: call => {
+                const [result, afterMs = 10] = results[calls.length]!;
+                calls.push(call);
+                return new Promise(resolve => {
+                    clock.after(afterMs, () => resolve(result));
+                    call.signal.addEventListener("abort", () => resolve({ kind: "cancelled" }));
+                });
+            },
+            isDown: () => Promise.resolve(isDown),
+        },
+        dialect: { upstreamHeaders: () => [] },
+        chooser: new UpstreamChooser({ zone: zoneA, clock, random: seededRandom(1), gray, paths, load }),
+        load,
+        paths,
+        outcomes: new SharedOutcomes({ clock, gray, announce: () => {} }),
+        allowance,
+        candidates: () => ["u1", "u2", "u3"].map(name => knownUpstream(name)),
+        crashes,
+    });
+    const caller = new AbortController();
+    const work: Work = {
+        request: {
+            requestId: "r1",
+            host: "h",
+            method: "POST",
+            target: "/reports/1",
+            headers: [],
+            key: undefined,
+            deadlineMs: 1_000,
+        },
+        body: new Uint8Array(0),
+        route: testRoute({ isIdempotent, maxAttempts }),
+        service: reports,
+        organisation: id<OrganisationId>("org-1"),
+        fingerprint: "f1",
+        endMs: 1_000,
+        signal: caller.signal,
+    };
+    const run = attempts.run(work);
+    await clock.advance(1_500);
+    return { result: await run, calls, load, crashes };
+};
+
+const broken: CallResult = { kind: "broken", reason: "reset", hadHeaders: false };
+const refused: CallResult = { kind: "refused", reason: "refused" };
+
+// Guards against a second run of a request that may have run.
+for (
+    const [name, result] of [
+        ["a broken connection", broken],
+        ["a timeout", { kind: "timeout" }],
+        ["another request's answer", { kind: "foreign", reason: "other" }],
+        ["the upstream's failure", answer(500)],
+    ] as const
+) {
+    test(`a request that may not be repeated is sent once after ${name}`, async () => {
+        const { calls, result: outcome } = await play({ results: [[result]] });
+        assert.is(calls.length, 1);
+        assert.is.not(outcome.kind, "not-run");
+    });
+}
+
+for (
+    const [name, result] of [
+        ["a refused connection", refused],
+        ["an upstream that shed it", answer(503, { isNotRun: true })],
+        ["another upstream's address", answer(421, { isNotRun: true, isMisdirected: true })],
+    ] as const
+) {
+    test(`any request is sent again after ${name}`, async () => {
+        const { calls, result: outcome } = await play({ results: [[result], [answer(200)]] });
+        assert.is(calls.length, 2);
+        assert.is.not(calls[0]!.upstream.id, calls[1]!.upstream.id);
+        assert.is(outcome.kind, "answer");
+    });
+}
+
+// Guards against a refusal that says "not run" after an attempt that may have run.
+test("not run is said only when no attempt may have run", async () => {
+    const first = await play({ results: [[broken], [refused]], isIdempotent: true });
+    assert.is(first.result.kind, "unknown");
+    const second = await play({ results: [[refused], [refused]], isIdempotent: true });
+    assert.is(second.result.kind, "not-run");
+});
+
+test("an idempotent request is sent again after a failure, up to its attempts", async () => {
+    const again = await play({ results: [[answer(500)], [answer(200)]], isIdempotent: true });
+    assert.is(again.result.kind === "answer" && again.result.answer.status, 200);
+    const once = await play({ results: [[answer(500)]], isIdempotent: true, maxAttempts: 1 });
+    assert.is(once.result.kind === "answer" && once.result.answer.status, 500);
+});
+
+// Guards against an upstream that hangs and takes the caller's whole time.
+test("an idempotent request that hangs is answered by a second upstream", async () => {
+    const { result, calls, load } = await play({ results: [[answer(200), 5_000], [answer(201)]], isIdempotent: true });
+    assert.is(result.kind === "answer" && result.answer.status, 201);
+    assert.ok(calls[0]!.signal.aborted, "the first attempt is cancelled");
+    assert.is(load.ownTotal(), 0);
+});
+
+test("a request that may not be repeated is not hedged", async () => {
+    const { calls } = await play({ results: [[answer(200), 800]] });
+    assert.is(calls.length, 1);
+});
+
+test("an answer without the upstream's mark is no success", async () => {
+    const { result } = await play({ results: [[answer(200, { isVouched: false })]] });
+    assert.is(result.kind, "unknown");
+});
+
+// Guards against innocent requests that are blamed for a connection that broke on the way.
+test("only a process that has ended counts as a crash", async () => {
+    for (const isDown of [false, true]) {
+        const { crashes } = await play({ results: [[broken]], isDown });
+        assert.is(crashes.report().length, isDown ? 1 : 0);
+    }
+});
+
+// Guards against a request that takes down one upstream after the other.
+test("a request is a suspect after three crashes and until a minute has passed", async () => {
+    const clock = new VirtualClock();
+    const guard = new CrashGuard({ clock, announce: () => {} });
+    ["u1", "u2", "u2"].forEach(name => guard.note("f1", id<UpstreamId>(name)));
+    assert.not(guard.isSuspect("f1"));
+    guard.note("f1", id<UpstreamId>("u3"));
+    assert.ok(guard.isSuspect("f1"));
+    assert.not(guard.isSuspect("f2"));
+    await clock.advance(guard.suspectMs + 1);
+    assert.not(guard.isSuspect("f1"));
+});
+
+test.run();
--- /dev/null
+++ b/packages/gateway/src/lib/settings-file.ts
@@ -0,0 +1,97 @@
+/** Keeps settings current with their file. */
+import type { Clock, LogPort } from "@sniperoad/core";
+import { readFile } from "node:fs/promises";
+import { isDeepStrictEqual } from "node:util";
+import { reasonOf } from "./errors.js";
+import { parseGatewaySettings } from "./settings.js";
+import type { GatewaySettings } from "./settings.js";
+
+/** How often the file is read; it may change without a signal. */
+const readIntervalMs = 2_000;
+
+/** Fields that are used only at the start: identity, addresses and the store. */
+const startFields: readonly (keyof GatewaySettings)[] = [
+    "instance",
+    "zone",
+    "callerAddress",
+    "directoryAddress",
+    "readyAddress",
+    "metricsAddress",
+    "peerAddress",
+    "seedPeers",
+    "store",
+    "memoryMb",
+];
+
+/** What {@link SettingsFile} needs. */
+export interface SettingsFileOptions {
+    readonly path: string;
+    /** Text of the file as it was at the start. */
+    readonly text: string;
+    readonly clock: Clock;
+    readonly log: LogPort;
+    readonly read?: (path: string) => Promise<string>;
+}
+
+/**
+ * The settings in force. A file that cannot be read or is not valid leaves the former ones in force.
+ *
+ * @example
+ * const file = new SettingsFile({ path, text, clock, log });
+ * process.on("SIGHUP", () => void file.reload());
+ * file.current.retryShare;
+ */
+export class SettingsFile {
+    readonly #options: SettingsFileOptions;
+    #text: string;
+    #current: GatewaySettings;
+
+    /** @throws InvalidConfigurationError when the first text is not valid */
+    constructor(options: SettingsFileOptions) {
+        this.#options = options;
+        this.#text = options.text;
+        this.#current = parseGatewaySettings(options.text, options.path);
+    }
+
+    get current(): GatewaySettings {
+        return this.#current;
+    }
+
+    /** Reads the file at intervals from now on. */
+    watch(): void {
+        this.#options.clock.after(readIntervalMs, () => void this.reload().then(() => this.watch()));
+    }
+
+    /** Reads the file now. */
+    async reload(): Promise<void> {
+        const { path, log, read = defaultRead } = this.#options;
+        try {
+            const text = await read(path);
+            if (text === this.#text) {
+                return;
+            }
+            this.#text = text;
+            this.#apply(parseGatewaySettings(text, path));
+        }
+        catch (error) {
+            log.event("settings-rejected", { path, reason: reasonOf(error) });
+        }
+    }
+
+    #apply(next: GatewaySettings): void {
+        const { path, log } = this.#options;
+        const former = this.#current;
+        const changed = (Object.keys(next) as (keyof GatewaySettings)[]).filter(field =>
+            !isDeepStrictEqual(next[field], former[field])
+        );
+        const needStart = changed.filter(field => startFields.includes(field));
+        this.#current = next;
+        log.event("settings-reloaded", {
+            path,
+            changed: changed.join(",") || "nothing",
+            inForceAfterRestart: needStart.join(",") || undefined,
+        });
+    }
+}
+
+const defaultRead = (path: string): Promise<string> => readFile(path, "utf8");
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -14,8 +14,10 @@
     callerAddress: address,
     /** Where callers ask which instances to use. */
     directoryAddress: address,
-    /** Where the readiness check and the metrics are served. */
+    /** Where the readiness check is served. */
     readyAddress: address,
+    /** Where the metrics are served. */
+    metricsAddress: address,
     /** Where other instances send messages. */
     peerAddress: address,
     /** Peer addresses of instances that may be up; some may be stale. */
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -27,8 +27,8 @@
 
 /** Test files below the build output of each package, in a fixed order. */
 function testFiles() {
-    return readdirSync("packages")
-        .flatMap(name => filesBelow(join("packages", name, "dist")))
+    return [...readdirSync("packages").map(name => join("packages", name)), "platform"]
+        .flatMap(folder => filesBelow(join(folder, "dist")))
         .filter(file => file.endsWith(".test.js"))
         .sort();
 }
