Tell silence from failure; a connection that was not made is no attempt

Change: 200 ms for a connection, up to four of them; idle connections are dropped after a path failure, so the next request learns from the connection, not by being lost; silence weighs 6, not 62.

--- a/packages/gateway/src/lib/fleet/beat.ts
+++ b/packages/gateway/src/lib/fleet/beat.ts
@@ -22,12 +22,18 @@
     readonly offered: number;
 }
 
-/** What an upstream itself answered. */
+/**
+ * What a request showed of its upstream: an answer, a failure that the upstream itself answered, or silence, which may
+ * be the path's fault.
+ */
+export type OutcomeKind = "success" | "failure" | "silence";
+
+/** An outcome as a beat reports it. */
 export interface ReportedOutcome {
     /** Rises by one with each outcome of the sender. */
     readonly sequence: number;
     readonly upstream: UpstreamId;
-    readonly isSuccess: boolean;
+    readonly kind: OutcomeKind;
 }
 
 /** A request that was in flight when the process of an upstream ended. */
@@ -81,8 +87,10 @@
 const usageWire = z.tuple([branded<OrganisationId>(), count, count]).transform(
     ([organisation, admitted, offered]): OrganisationUsage => ({ organisation, admitted, offered }),
 );
-const outcomeWire = z.tuple([count, branded<UpstreamId>(), z.boolean()]).transform(
-    ([sequence, upstream, isSuccess]): ReportedOutcome => ({ sequence, upstream, isSuccess }),
+/** Kinds of outcomes in the order of their numbers on the wire. */
+const outcomeKinds: readonly OutcomeKind[] = ["success", "failure", "silence"];
+const outcomeWire = z.tuple([count, branded<UpstreamId>(), z.number().int().min(0).max(2)]).transform(
+    ([sequence, upstream, kind]): ReportedOutcome => ({ sequence, upstream, kind: outcomeKinds[kind]! }),
 );
 const crashWire = z.tuple([count, address, branded<UpstreamId>()]).transform(
     ([sequence, fingerprint, upstream]): ReportedCrash => ({ sequence, fingerprint, upstream }),
@@ -146,7 +154,11 @@
     feedToWire(beat.config),
     feedToWire(beat.upstreams),
     beat.usage.slice(0, maxListEntries).map(({ organisation, admitted, offered }) => [organisation, admitted, offered]),
-    beat.outcomes.slice(0, maxListEntries).map(({ sequence, upstream, isSuccess }) => [sequence, upstream, isSuccess]),
+    beat.outcomes.slice(0, maxListEntries).map(({ sequence, upstream, kind }) => [
+        sequence,
+        upstream,
+        outcomeKinds.indexOf(kind),
+    ]),
     beat.crashes.slice(0, maxListEntries).map(({ sequence, fingerprint, upstream }) => [
         sequence,
         fingerprint,
--- a/packages/gateway/src/lib/health/gray-filter.ts
+++ b/packages/gateway/src/lib/health/gray-filter.ts
@@ -11,14 +11,17 @@
     readonly grayFailureShare: number;
     /** Share of requests that a good upstream fails. */
     readonly goodFailureShare: number;
+    /** How much more often a gray upstream is silent than a good one whose path has failed. */
+    readonly silenceRatio: number;
 }
 
-/** The trial's upstreams: gray for a third of the time, in spells of 3 s, failing three of four; 1.2% otherwise. */
+/** The trial's upstreams: gray for a third of the time, in spells of 3 s, failing three of four; 1.2% otherwise. Two silences weigh half as much as one failure. */
 export const defaultGrayModel: GrayModel = {
     onsetPerSecond: 1 / 6.3,
     recoveryPerSecond: 1 / 2.7,
     grayFailureShare: 0.75,
     goodFailureShare: 0.012,
+    silenceRatio: 6,
 };
 
 interface Belief {
@@ -60,6 +63,11 @@
         this.#update(upstream, grayFailureShare / goodFailureShare);
     }
 
+    /** No answer in the usual time. One instance's word may be its path's fault; that of two is strong evidence. */
+    noteSilence(upstream: UpstreamId): void {
+        this.#update(upstream, this.#model.silenceRatio);
+    }
+
     /** Forgets upstreams that are no longer listed. */
     retain(isListed: (upstream: UpstreamId) => boolean): void {
         [...this.#beliefs.keys()].filter(upstream => !isListed(upstream)).forEach(upstream =>
--- a/packages/gateway/src/lib/health/shared-outcomes.ts
+++ b/packages/gateway/src/lib/health/shared-outcomes.ts
@@ -1,6 +1,7 @@
 /** Outcomes of requests, shared between instances. */
 import type { Clock, UpstreamId } from "@sniperoad/core";
-import type { Beat, ReportedOutcome } from "../fleet/beat.js";
+import { match } from "ts-pattern";
+import type { Beat, OutcomeKind, ReportedOutcome } from "../fleet/beat.js";
 import type { GrayFilter } from "./gray-filter.js";
 
 /** A failure is repeated in beats for this long, so that a lost beat loses none. */
@@ -24,7 +25,7 @@
  * saw it, so a failure counts in the whole fleet within milliseconds.
  *
  * @example
- * outcomes.note(upstream, false);
+ * outcomes.note(upstream, "failure");
  */
 export class SharedOutcomes {
     readonly #options: SharedOutcomesOptions;
@@ -36,17 +37,17 @@
     }
 
     /** Takes an outcome of this instance. */
-    note(upstream: UpstreamId, isSuccess: boolean): void {
+    note(upstream: UpstreamId, kind: OutcomeKind): void {
         const { clock, announce } = this.#options;
-        this.#apply({ upstream, isSuccess });
+        this.#apply({ upstream, kind });
         this.#own.push({
             sequence: ++this.#sequence,
             upstream,
-            isSuccess,
+            kind,
             atMs: clock.monotonicMs(),
             wasReported: false,
         });
-        if (!isSuccess) {
+        if (kind !== "success") {
             announce();
         }
     }
@@ -54,11 +55,11 @@
     /** What a beat reports: successes once, failures for a while. */
     report(): ReportedOutcome[] {
         const sinceMs = this.#options.clock.monotonicMs() - repeatFailureMs;
-        this.#own = this.#own.filter(({ isSuccess, atMs, wasReported }) =>
-            !wasReported || !isSuccess && atMs >= sinceMs
+        this.#own = this.#own.filter(({ kind, atMs, wasReported }) =>
+            !wasReported || kind !== "success" && atMs >= sinceMs
         );
         this.#own.forEach(outcome => outcome.wasReported = true);
-        return this.#own.map(({ sequence, upstream, isSuccess }) => ({ sequence, upstream, isSuccess }));
+        return this.#own.map(({ sequence, upstream, kind }) => ({ sequence, upstream, kind }));
     }
 
     /** Takes the outcomes of another instance that its former beat did not have. */
@@ -67,12 +68,12 @@
         beat.outcomes.filter(({ sequence }) => sequence > known).forEach(outcome => this.#apply(outcome));
     }
 
-    #apply({ upstream, isSuccess }: Pick<ReportedOutcome, "upstream" | "isSuccess">): void {
-        if (isSuccess) {
-            this.#options.gray.noteSuccess(upstream);
-        }
-        else {
-            this.#options.gray.noteFailure(upstream);
-        }
+    #apply({ upstream, kind }: Pick<ReportedOutcome, "upstream" | "kind">): void {
+        const { gray } = this.#options;
+        match(kind)
+            .with("success", () => gray.noteSuccess(upstream))
+            .with("failure", () => gray.noteFailure(upstream))
+            .with("silence", () => gray.noteSilence(upstream))
+            .exhaustive();
     }
 }
--- a/packages/gateway/src/lib/request/attempts.ts
+++ b/packages/gateway/src/lib/request/attempts.ts
@@ -17,6 +17,11 @@
  */
 const hedgeAfterShare = 0.55;
 
+/** Part of the target latency after which an upstream that has not answered counts as silent. */
+const silentAfterShare = 1;
+/** Connections that one request may try in vain. Nothing was sent, so they are no attempts. */
+const maxVainConnections = 4;
+
 /** What {@link Attempts} needs. */
 export interface AttemptsOptions {
     readonly clock: Clock;
@@ -58,7 +63,9 @@
 interface Progress {
     readonly work: Work;
     readonly tried: Set<UpstreamId>;
+    /** Attempts that reached an upstream, or are on their way. */
     sent: number;
+    vainConnections: number;
     /** Best result so far of an attempt that has ended. */
     last: WorkResult | undefined;
     /** Whether some attempt may have run. */
@@ -79,7 +86,14 @@
     }
 
     async run(work: Work): Promise<WorkResult> {
-        const progress: Progress = { work, tried: new Set(), sent: 0, last: undefined, mayHaveRun: false };
+        const progress: Progress = {
+            work,
+            tried: new Set(),
+            sent: 0,
+            vainConnections: 0,
+            last: undefined,
+            mayHaveRun: false,
+        };
         const ended = new AbortController();
         const signal = AbortSignal.any([work.signal, ended.signal]);
         try {
@@ -133,15 +147,17 @@
         return result === true;
     }
 
-    #mayStart({ work, sent, mayHaveRun }: Progress): boolean {
+    #mayStart({ work, sent, vainConnections, mayHaveRun }: Progress): boolean {
         const { allowance, clock } = this.#options;
+        const isUseful = clock.monotonicMs() < work.endMs
+            && !work.signal.aborted
+            && vainConnections < maxVainConnections;
         if (sent === 0) {
-            return true;
+            return isUseful;
         }
-        return sent < work.route.maxAttempts
+        return isUseful
+            && sent < work.route.maxAttempts
             && (work.route.isIdempotent || !mayHaveRun)
-            && clock.monotonicMs() < work.endMs
-            && !work.signal.aborted
             && allowance.tryTake(work.service);
     }
 
@@ -163,12 +179,15 @@
     }
 
     async #attempt(progress: Progress, choice: Choice, signal: AbortSignal): Promise<void> {
-        const { clock, caller, dialect, load } = this.#options;
+        const { clock, caller, dialect, load, outcomes } = this.#options;
         const { work } = progress;
         const { listed } = choice.upstream;
         const startMs = clock.monotonicMs();
         const timeoutMs = Math.max(1, work.endMs - startMs);
         const done = load.begin(listed.id);
+        const silence = clock.after(work.route.targetLatencyMs * silentAfterShare, () => {
+            outcomes.note(listed.id, "silence");
+        });
         const result = await caller.call({
             upstream: listed,
             method: work.request.method,
@@ -184,6 +203,11 @@
             signal,
         });
         done();
+        silence.cancel();
+        if (result.kind === "refused") {
+            progress.sent--;
+            progress.vainConnections++;
+        }
         const outcome = this.#judge(result, work, listed);
         this.#log(progress, choice, result, clock.monotonicMs() - startMs);
         progress.mayHaveRun ||= outcome.kind !== "not-run";
@@ -196,7 +220,7 @@
     /** What an attempt says about the request and about its upstream. */
     #judge(result: CallResult, work: Work, listed: ListedUpstream): WorkResult {
         const upstream = listed.id;
-        const { paths, outcomes } = this.#options;
+        const { paths } = this.#options;
         return match(result)
             .with({ kind: "answer" }, ({ answer }): WorkResult => {
                 paths.noteSuccess(upstream);
@@ -204,11 +228,11 @@
                 return this.#judgeAnswer(answer, upstream);
             })
             .with({ kind: "refused" }, ({ reason }): WorkResult => {
-                paths.noteFailure(upstream);
+                this.#notePathFailure(listed);
                 return { kind: "not-run", reason };
             })
             .with({ kind: "broken" }, ({ reason, hadHeaders }): WorkResult => {
-                paths.noteFailure(upstream);
+                this.#notePathFailure(listed);
                 if (!hadHeaders) {
                     void this.#noteIfCrashed(work, listed);
                 }
@@ -216,14 +240,18 @@
             })
             .with({ kind: "foreign" }, ({ reason }): WorkResult => ({ kind: "unknown", reason, isTimeout: false }))
             .with({ kind: "timeout" }, (): WorkResult => {
-                paths.noteFailure(upstream);
-                outcomes.note(upstream, false);
+                this.#notePathFailure(listed);
                 return { kind: "unknown", reason: "no answer in time", isTimeout: true };
             })
             .with({ kind: "cancelled" }, (): WorkResult => ({ kind: "cancelled" }))
             .exhaustive();
     }
 
+    #notePathFailure(listed: ListedUpstream): void {
+        this.#options.paths.noteFailure(listed.id);
+        this.#options.caller.forget(listed);
+    }
+
     /** A connection that broke may be the path's fault; a process that refuses connections has ended. */
     async #noteIfCrashed(work: Work, listed: ListedUpstream): Promise<void> {
         if (await this.#options.caller.isDown(listed)) {
@@ -249,7 +277,7 @@
             return { kind: "unknown", reason: "the answer does not bear the upstream's mark", isTimeout: false };
         }
         const isFailure = answer.status >= 500;
-        outcomes.note(upstream, !isFailure);
+        outcomes.note(upstream, isFailure ? "failure" : "success");
         return { kind: "answer", answer, isFailure };
     }
 
--- a/packages/gateway/src/lib/request/ports.ts
+++ b/packages/gateway/src/lib/request/ports.ts
@@ -43,6 +43,8 @@
 /** Sends requests to upstreams. It never rejects: every failure is a kind of result. */
 export interface UpstreamCaller {
     call(call: UpstreamCall): Promise<CallResult>;
+    /** Closes idle connections, so that the next call shows whether the path is open before it sends anything. */
+    forget(upstream: ListedUpstream): void;
     /** Whether the address refuses a connection, so that the process there has ended. */
     isDown(upstream: ListedUpstream): Promise<boolean>;
 }
--- a/packages/gateway/src/lib/request/upstream-connections.ts
+++ b/packages/gateway/src/lib/request/upstream-connections.ts
@@ -8,8 +8,8 @@
 import type { ListedUpstream } from "../model.js";
 import type { CallResult, HeaderDialect, UpstreamAnswer, UpstreamCall, UpstreamCaller } from "./ports.js";
 
-/** Longest time for a connection; upstreams of a deployment are milliseconds away. */
-const connectTimeoutMs = 400;
+/** Longest time for a connection. Upstreams of a deployment are milliseconds away; a cut path shows by silence. */
+const connectTimeoutMs = 200;
 /** Idle time after which a connection is closed, unless the upstream states a shorter one. */
 const idleTimeoutMs = 4_000;
 /** Largest answer; answers are read whole before the caller sees a byte. */
@@ -51,6 +51,11 @@
         return result;
     }
 
+    forget({ id }: ListedUpstream): void {
+        this.#idle.get(id)?.forEach(destroy);
+        this.#idle.delete(id);
+    }
+
     isDown(upstream: ListedUpstream): Promise<boolean> {
         const { host, port } = splitAddress(upstream.address);
         return new Promise(resolve => {
