--- a/packages/gateway/src/lib/store/feed-reader.ts
+++ b/packages/gateway/src/lib/store/feed-reader.ts
@@ -6,7 +6,7 @@
 /** How long a watch waits. An answer confirms the revision, so silence is noticed soon after this time. */
 export const watchWaitMs = 1_000;
 /** Pause between watches, in which the changes of one event gather into one call. */
-const gatherMs = 100;
+const gatherMs = 200;
 /** First pause after a failure, doubled up to the longest one. */
 const firstRetryMs = 150;
 const maxRetryMs = 1_000;
--- a/packages/gateway/src/lib/store/reader-duty.ts
+++ b/packages/gateway/src/lib/store/reader-duty.ts
@@ -2,9 +2,13 @@
 import { hash32 } from "@sniperoad/core";
 import type { InstanceId } from "@sniperoad/core";
 import type { FeedState } from "../fleet/beat.js";
+import type { SharedCollection } from "./state-exchange.js";
 
-/** Readers of each collection. Two may be cut off at once and one still hears of a change. */
-export const readersWanted = 3;
+/**
+ * Readers of each collection. Of the list of upstreams two may be cut off at once and one still hears of a change; the
+ * configuration changes seldom, and a cut reader of it is replaced within its bound.
+ */
+export const readersWanted: Readonly<Record<SharedCollection, number>> = { config: 2, upstreams: 3 };
 /** Readers in trouble beyond which the store itself is taken to be down, so that no further instance tries. */
 const troubledReadersMax = 6;
 /**
@@ -26,14 +30,18 @@
  * @example
  * shouldRead(self, "upstreams", members);
  */
-export const shouldRead = (self: InstanceId, collection: string, others: readonly ReaderCandidate[]): boolean => {
+export const shouldRead = (
+    self: InstanceId,
+    collection: SharedCollection,
+    others: readonly ReaderCandidate[],
+): boolean => {
     const ownRank = rankOf(self, collection);
     const better = others.filter(({ id }) => {
         const rank = rankOf(id, collection);
         return rank < ownRank || rank === ownRank && id < self;
     });
     const troubled = better.filter(({ feed }) => feed.isReading && (feed.readAgeMs ?? 0) > troubleAfterMs).length;
-    return better.length - troubled < readersWanted && troubled < troubledReadersMax;
+    return better.length - troubled < readersWanted[collection] && troubled < troubledReadersMax;
 };
 
 const rankOf = (id: InstanceId, collection: string): number => hash32(`${collection}|${id}`);
