Take a reset within an answer without a length as broken

Ruled out: chunked and counted bodies, which the tests cover. Change: the connection notes system errors; the new test failed before.

--- a/packages/gateway/src/lib/request/upstream-connections.test.ts
+++ b/packages/gateway/src/lib/request/upstream-connections.test.ts
@@ -34,7 +34,14 @@
                 socket.destroy();
             }
             else {
-                socket.write(answer, () => answer.includes("Connection: close") ? socket.end() : undefined);
+                socket.write(answer, () => {
+                    if (answer.includes("X-Reset: 1")) {
+                        setTimeout(() => socket.resetAndDestroy(), 20);
+                    }
+                    else if (answer.includes("Connection: close")) {
+                        socket.end();
+                    }
+                });
             }
         });
     });
@@ -105,6 +112,12 @@
         assert.is(result.kind === "answer" && Buffer.from(result.answer.body).toString(), "ok");
     }));
 
+// Guards against half an answer that looks whole: undici takes a reset as the end of an answer without a length.
+test("an answer without a length that ends with a reset is broken", () =>
+    withUpstream(["HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Reset: 1\r\nConnection: close\r\n\r\nok"], async call => {
+        assert.is((await call("r1")).kind, "broken");
+    }));
+
 test("extra bytes after an answer reach no later request", () =>
     withUpstream([whole("r1") + whole("r1"), whole("r2")], async call => {
         assert.is((await call("r1")).kind, "answer");
--- a/packages/gateway/src/lib/request/upstream-connections.ts
+++ b/packages/gateway/src/lib/request/upstream-connections.ts
@@ -2,7 +2,7 @@
 import type { Headers, UpstreamId } from "@sniperoad/core";
 import { splitAddress } from "@sniperoad/daemon";
 import { createConnection } from "node:net";
-import { Client } from "undici";
+import { buildConnector, Client } from "undici";
 import type { Dispatcher } from "undici";
 import { reasonOf } from "../errors.js";
 import type { ListedUpstream } from "../model.js";
@@ -32,6 +32,8 @@
 export class UpstreamConnections implements UpstreamCaller {
     readonly #options: UpstreamConnectionsOptions;
     readonly #idle = new Map<UpstreamId, Client[]>();
+    /** Clients whose connection was reset or timed out. */
+    readonly #failed = new WeakSet<Client>();
     /** Connections opened since the start. */
     openedCount = 0;
 
@@ -92,9 +94,23 @@
     }
 
     #open(address: string): Client {
-        const client = new Client(`http://${address}`, {
+        const connect = buildConnector({ timeout: connectTimeoutMs });
+        const client: Client = new Client(`http://${address}`, {
             pipelining: 1,
-            connect: { timeout: connectTimeoutMs },
+            connect: (options, done) =>
+                connect(options, (...[error, socket]) => {
+                    if (error !== null) {
+                        done(error, null);
+                        return;
+                    }
+                    socket.on("error", (failure: NodeJS.ErrnoException) => {
+                        // Errors of undici itself have no system call.
+                        if (failure.syscall !== undefined) {
+                            this.#failed.add(client);
+                        }
+                    });
+                    done(null, socket);
+                }),
             keepAliveTimeout: idleTimeoutMs,
             keepAliveMaxTimeout: idleTimeoutMs,
             maxResponseSize: maxAnswerBytes,
@@ -129,7 +145,7 @@
                 signal: AbortSignal.any([timeout.signal, call.signal]),
             });
             progress.hadHeaders = true;
-            return await this.#read(response, call);
+            return await this.#read(response, call, client);
         }
         catch (error) {
             return classify(error, {
@@ -143,7 +159,7 @@
         }
     }
 
-    async #read(response: Dispatcher.ResponseData, call: UpstreamCall): Promise<CallResult> {
+    async #read(response: Dispatcher.ResponseData, call: UpstreamCall, client: Client): Promise<CallResult> {
         const headers = flatHeaders(response.headers);
         const marks = this.#options.dialect.decodeAnswer(response.statusCode, headers);
         const isForeign = marks.requestId !== undefined && marks.requestId !== call.requestId;
@@ -152,6 +168,10 @@
             return { kind: "foreign", reason: isForeign ? "answer names another request" : "body is encoded" };
         }
         const body = new Uint8Array(await response.body.arrayBuffer());
+        // An answer without a length ends with its connection, and undici takes a reset for its end too.
+        if (this.#failed.has(client) && !isDelimited(headers)) {
+            return { kind: "broken", reason: "the connection was reset within the answer", hadHeaders: true };
+        }
         const answer: UpstreamAnswer = { status: response.statusCode, headers, body, marks };
         return { kind: "answer", answer };
     }
@@ -168,6 +188,9 @@
     body.destroy();
 };
 
+const isDelimited = (headers: Headers): boolean =>
+    headers.some(([name]) => name === "content-length" || name === "transfer-encoding");
+
 const flatHeaders = (headers: Record<string, string | string[] | undefined>): Headers =>
     Object.entries(headers).flatMap(([name, value]) =>
         (Array.isArray(value) ? value : [value]).map(one => [name.toLowerCase(), one ?? ""] as const)
