--- a/packages/daemon/src/lib/pages.test.ts
+++ b/packages/daemon/src/lib/pages.test.ts
@@ -6,7 +6,9 @@
 import { settingsSchema } from "./settings.js";
 
 const root = new URL("../../../../", import.meta.url);
-const page = (name: string): string => readFileSync(new URL(`docs/${name}.md`, root), "utf8");
+/** The part of a page on this daemon; `gateway` tests the part on its own program. */
+const page = (name: string): string =>
+    readFileSync(new URL(`docs/${name}.md`, root), "utf8").split("## Instances on the platform")[0]!;
 
 /** Source of the shipped code in which events and metrics are named. */
 const source = ["core", "daemon"].flatMap(name => {
@@ -30,13 +32,13 @@
 test("the operations page names each event", () => {
     const used = namesIn(source, /(?:\.event|#log)\(\s*"([^"]+)"/g);
     assert.ok(used.length > 30);
-    assert.equal(namesIn(page("operations").split("## Log lines")[1]!, /^\| `([a-z._-]+)` \|/gm), used);
+    assert.equal(namesIn(page("OPERATIONS").split("## Log lines")[1]!, /^\| `([a-z._-]+)` \|/gm), used);
 });
 
 // Guards against a setting without a description, and against an example that the program refuses.
 test("page and example name each setting", async () => {
     const settings = Object.keys(settingsSchema.shape).sort();
-    const table = page("operations").split("## Stop and roll")[0]!;
+    const table = page("OPERATIONS").split("## Stop and roll")[0]!;
     assert.equal(namesIn(table, /^\| `([a-zA-Z]+)/gm), settings);
     const file = fileURLToPath(new URL("packages/daemon/examples/instance.jsonc", root));
     assert.equal(Object.keys(await readSettings(file, bySchema(settingsSchema))).sort(), settings);
--- a/packages/gateway/src/lib/health/shared-outcomes.ts
+++ b/packages/gateway/src/lib/health/shared-outcomes.ts
@@ -7,6 +7,9 @@
 /** A failure is repeated in beats for this long, so that a lost beat loses none. */
 const repeatFailureMs = 700;
 
+/** Above it, a success is news too: the usual share of time that upstreams are gray. */
+const suspectProbability = 0.3;
+
 interface OwnOutcome extends ReportedOutcome {
     readonly atMs: number;
     wasReported: boolean;
@@ -38,7 +41,8 @@
 
     /** Takes an outcome of this instance. */
     note(upstream: UpstreamId, kind: OutcomeKind): void {
-        const { clock, announce } = this.#options;
+        const { clock, announce, gray } = this.#options;
+        const wasSuspect = gray.probability(upstream) > suspectProbability;
         this.#apply({ upstream, kind });
         this.#own.push({
             sequence: ++this.#sequence,
@@ -47,7 +51,7 @@
             atMs: clock.monotonicMs(),
             wasReported: false,
         });
-        if (kind !== "success") {
+        if (kind !== "success" || wasSuspect) {
             announce();
         }
     }
