Keep the floor of upstreams in use while requests of a service fail

Change: from 7% failures on, part of the requests goes to upstreams without one in the last 1.4 s, until the floor and a margin are in use. The test without the keeper finds too few of 6 upstreams used.

--- a/packages/gateway/src/lib/balance/balance.test.ts
+++ b/packages/gateway/src/lib/balance/balance.test.ts
@@ -3,6 +3,7 @@
 import { seededRandom, VirtualClock } from "@sniperoad/core/testing";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { FloorKeeper } from "../health/floor-keeper.js";
 import { GrayFilter } from "../health/gray-filter.js";
 import { PathHealth } from "../health/path-health.js";
 import { knownUpstream, reports, zoneA } from "../testing/index.js";
@@ -12,13 +13,22 @@
 
 const u1 = id<UpstreamId>("u1");
 const u2 = id<UpstreamId>("u2");
+const noFloor = { pick: () => undefined };
 
 const start = () => {
     const clock = new VirtualClock();
     const gray = new GrayFilter(clock);
     const paths = new PathHealth(clock);
     const load = new FleetLoad();
-    const chooser = new UpstreamChooser({ zone: zoneA, clock, random: seededRandom(1), gray, paths, load });
+    const chooser = new UpstreamChooser({
+        zone: zoneA,
+        clock,
+        random: seededRandom(1),
+        gray,
+        paths,
+        load,
+        floor: noFloor,
+    });
     const candidates = [knownUpstream("u1"), knownUpstream("u2")];
     const shareOf = (upstream: UpstreamId, isRepeatable: boolean): number => {
         const draws = Array.from(
@@ -61,6 +71,37 @@
     assert.is(chooser.choose({ candidates, tried: new Set([u1, u2]), isRepeatable: false }), undefined);
 });
 
+// Guards against a service with failures whose requests all go to the few upstreams that are not suspects.
+test("while requests fail, the floor of the upstreams gets requests in any 2 s", async () => {
+    const clock = new VirtualClock();
+    const random = seededRandom(4);
+    const gray = new GrayFilter(clock);
+    const candidates = ["u1", "u2", "u3", "u4", "u5", "u6"].map(name => knownUpstream(name));
+    const floor = new FloorKeeper({ clock, random, floorShare: () => 0.7, serviceOf: () => reports });
+    const paths = new PathHealth(clock);
+    const chooser = new UpstreamChooser({ zone: zoneA, clock, random, gray, paths, load: new FleetLoad(), floor });
+    const uses: { readonly atMs: number; readonly upstream: UpstreamId; }[] = [];
+    for (let request = 0; request < 400; request++) {
+        await clock.advance(25);
+        const upstream = chooser.choose({ candidates, tried: new Set(), isRepeatable: false })!.upstream.listed.id;
+        uses.push({ atMs: clock.monotonicMs(), upstream });
+        const isFailure = upstream !== u1 && upstream !== u2 && random() < 0.8;
+        floor.noteOutcome(upstream, isFailure || request % 8 === 0 ? "failure" : "success");
+        if (isFailure) {
+            gray.noteFailure(upstream);
+        }
+        else {
+            gray.noteSuccess(upstream);
+        }
+    }
+    for (let fromMs = 1_000; fromMs < 8_000; fromMs += 100) {
+        const used = new Set(
+            uses.filter(({ atMs }) => atMs >= fromMs && atMs < fromMs + 2_000).map(use => use.upstream),
+        );
+        assert.ok(used.size >= 5, `${used.size} of 6 upstreams used from ${fromMs} ms`);
+    }
+});
+
 test("load counts own requests and the last report of each instance", () => {
     const load = new FleetLoad();
     const other = id<InstanceId>("other~0");
--- a/packages/gateway/src/lib/balance/upstream-chooser.ts
+++ b/packages/gateway/src/lib/balance/upstream-chooser.ts
@@ -1,5 +1,6 @@
 /** Chooses the upstream of a request by health, load and distance. */
 import type { Clock, Random, UpstreamId, ZoneId } from "@sniperoad/core";
+import type { FloorKeeper } from "../health/floor-keeper.js";
 import type { GrayFilter } from "../health/gray-filter.js";
 import type { PathHealth } from "../health/path-health.js";
 import type { KnownUpstream } from "../store/held-upstreams.js";
@@ -31,6 +32,7 @@
     readonly gray: GrayFilter;
     readonly paths: PathHealth;
     readonly load: FleetLoad;
+    readonly floor: Pick<FloorKeeper, "pick">;
 }
 
 /** What a choice depends on. */
@@ -65,18 +67,15 @@
 
     /** Undefined when every candidate was tried. */
     choose({ candidates, tried, isRepeatable }: ChoiceRequest): Choice | undefined {
-        const { paths } = this.#options;
+        const { paths, floor, gray, load } = this.#options;
         const untried = candidates.filter(({ listed }) => !tried.has(listed.id));
         const reachable = untried.filter(({ listed }) => !paths.isPaused(listed.id));
         // If every path has failed lately, trying one is better than refusing without a try.
         const pool = reachable.length > 0 ? reachable : untried;
-        const costs = pool.map(upstream => this.#cost(upstream, isRepeatable));
-        const index = this.#draw(costs);
-        const upstream = index === undefined ? undefined : pool[index];
+        const upstream = floor.pick(pool, id => gray.probability(id)) ?? this.#drawFrom(pool, isRepeatable);
         if (upstream === undefined) {
             return undefined;
         }
-        const { gray, load } = this.#options;
         return {
             upstream,
             grayProbability: gray.probability(upstream.listed.id),
@@ -95,6 +94,11 @@
             + (listed.zone === zone ? 0 : otherZoneCost);
     }
 
+    #drawFrom(pool: readonly KnownUpstream[], isRepeatable: boolean): KnownUpstream | undefined {
+        const index = this.#draw(pool.map(upstream => this.#cost(upstream, isRepeatable)));
+        return index === undefined ? undefined : pool[index];
+    }
+
     #draw(costs: readonly number[]): number | undefined {
         const least = Math.min(...costs);
         const weights = costs.map(cost => Math.exp((least - cost) / spread));
--- a/packages/gateway/src/lib/gateway-parts.ts
+++ b/packages/gateway/src/lib/gateway-parts.ts
@@ -1,5 +1,5 @@
 /** Builds the modules of an instance and connects them. */
-import type { Clock, LogPort, Random, Sha256, ZoneId } from "@sniperoad/core";
+import type { Clock, LogPort, Random, Sha256, UpstreamId, ZoneId } from "@sniperoad/core";
 import { splitAddress, TcpPeers } from "@sniperoad/daemon";
 import { FleetLoad } from "./balance/fleet-load.js";
 import { RetryAllowance } from "./balance/retry-allowance.js";
@@ -9,6 +9,7 @@
 import { Gossip } from "./fleet/gossip.js";
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
+import { FloorKeeper } from "./health/floor-keeper.js";
 import { GrayFilter } from "./health/gray-filter.js";
 import { PathHealth } from "./health/path-health.js";
 import { SharedOutcomes } from "./health/shared-outcomes.js";
@@ -69,6 +70,7 @@
     readonly gray: GrayFilter;
     readonly load: FleetLoad;
     readonly rates: FleetRate;
+    readonly floor: FloorKeeper;
     readonly outcomes: SharedOutcomes;
     readonly crashes: CrashGuard;
     /** Whether callers are taken. */
@@ -102,7 +104,9 @@
     const gray = new GrayFilter(clock);
     const load = new FleetLoad();
     const rates = new FleetRate(clock, () => rateOptions(settings()));
-    const outcomes = new SharedOutcomes({ clock, gray, announce });
+    const serviceOf = (upstream: UpstreamId) => held.get(upstream)?.listed.service;
+    const floor = new FloorKeeper({ clock, random, floorShare: () => settings().floorShare, serviceOf });
+    const outcomes = new SharedOutcomes({ clock, gray, floor, announce });
     const crashes = new CrashGuard({ clock, announce });
     const shared = shareByBeats({ rates, outcomes, crashes, load });
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
@@ -157,6 +161,7 @@
         gray,
         load,
         rates,
+        floor,
         outcomes,
         crashes,
         isReady,
@@ -196,7 +201,7 @@
     connections: UpstreamConnections,
 ): RequestParts => {
     const { clock, random, log, sha256, headers, settings } = options;
-    const { roster, held, gray, load, outcomes, crashes, state, config, rates } = fleet;
+    const { roster, held, gray, load, outcomes, crashes, state, config, rates, floor } = fleet;
     const paths = new PathHealth(clock);
     const allowance = new RetryAllowance(() => {
         const { retryShare, retryBurst } = settings();
@@ -207,10 +212,11 @@
         log,
         caller: connections,
         dialect: headers,
-        chooser: new UpstreamChooser({ zone: settings().zone, clock, random, gray, paths, load }),
+        chooser: new UpstreamChooser({ zone: settings().zone, clock, random, gray, paths, load, floor }),
         load,
         paths,
         outcomes,
+        floor,
         allowance,
         candidates: service => held.ofService(service),
         crashes,
@@ -234,9 +240,13 @@
 };
 
 /** Forgets upstreams that are no longer listed and instances that are no longer heard. */
-export const sweepParts = ({ held, gray, load, rates, roster }: FleetParts, connections: UpstreamConnections): void => {
+export const sweepParts = (
+    { held, gray, floor, load, rates, roster }: FleetParts,
+    connections: UpstreamConnections,
+): void => {
     const isListed = (upstream: Parameters<HeldUpstreams["get"]>[0]): boolean => held.get(upstream) !== undefined;
     gray.retain(isListed);
+    floor.retain(isListed);
     connections.retain(isListed);
     const heard = new Set(roster.live().map(({ beat }) => beat.id));
     load.retain(instance => heard.has(instance));
--- a/packages/gateway/src/lib/health/health.test.ts
+++ b/packages/gateway/src/lib/health/health.test.ts
@@ -10,6 +10,7 @@
 import { SharedOutcomes } from "./shared-outcomes.js";
 
 const upstream = id<UpstreamId>("u1");
+const noFloor = { noteOutcome: () => {} };
 
 // Guards against requests that go on to an upstream after its first failure.
 test("one failure after a success makes an upstream a suspect", () => {
@@ -81,7 +82,7 @@
 test("a repeated outcome counts once", () => {
     const clock = new VirtualClock();
     const gray = new GrayFilter(clock);
-    const outcomes = new SharedOutcomes({ clock, gray, announce: () => {} });
+    const outcomes = new SharedOutcomes({ clock, gray, floor: noFloor, announce: () => {} });
     const first = beatOf(1, [{ sequence: 1, upstream, kind: "failure" }]);
     outcomes.noteBeat(first, undefined);
     const once = gray.probability(upstream);
@@ -93,7 +94,12 @@
 test("a failure is reported for a while, a success once", async () => {
     const clock = new VirtualClock();
     const told = { count: 0 };
-    const outcomes = new SharedOutcomes({ clock, gray: new GrayFilter(clock), announce: () => told.count++ });
+    const outcomes = new SharedOutcomes({
+        clock,
+        gray: new GrayFilter(clock),
+        floor: noFloor,
+        announce: () => told.count++,
+    });
     outcomes.note(upstream, "success");
     outcomes.note(upstream, "failure");
     assert.is(told.count, 1);
--- a/packages/gateway/src/lib/health/shared-outcomes.ts
+++ b/packages/gateway/src/lib/health/shared-outcomes.ts
@@ -2,6 +2,7 @@
 import type { Clock, UpstreamId } from "@sniperoad/core";
 import { match } from "ts-pattern";
 import type { Beat, OutcomeKind, ReportedOutcome } from "../fleet/beat.js";
+import type { FloorKeeper } from "./floor-keeper.js";
 import type { GrayFilter } from "./gray-filter.js";
 
 /** A failure is repeated in beats for this long, so that a lost beat loses none. */
@@ -19,6 +20,7 @@
 export interface SharedOutcomesOptions {
     readonly clock: Clock;
     readonly gray: GrayFilter;
+    readonly floor: Pick<FloorKeeper, "noteOutcome">;
     /** Sends a beat at once. */
     readonly announce: () => void;
 }
@@ -73,7 +75,8 @@
     }
 
     #apply({ upstream, kind }: Pick<ReportedOutcome, "upstream" | "kind">): void {
-        const { gray } = this.#options;
+        const { gray, floor } = this.#options;
+        floor.noteOutcome(upstream, kind);
         match(kind)
             .with("success", () => gray.noteSuccess(upstream))
             .with("failure", () => gray.noteFailure(upstream))
--- a/packages/gateway/src/lib/request/attempts.test.ts
+++ b/packages/gateway/src/lib/request/attempts.test.ts
@@ -44,6 +44,7 @@
     const gray = new GrayFilter(clock);
     const paths = new PathHealth(clock);
     const load = new FleetLoad();
+    const floor = { pick: () => undefined, noteUse: () => {}, noteOutcome: () => {} };
     const crashes = new CrashGuard({ clock, announce: () => {} });
     const allowance = new RetryAllowance(() => ({ share: 1, burst: 1_000 }));
     allowance.noteRequest(reports, 1);
@@ -64,10 +65,11 @@
             isDown: () => Promise.resolve(isDown),
         },
         dialect: { upstreamHeaders: () => [] },
-        chooser: new UpstreamChooser({ zone: zoneA, clock, random: seededRandom(1), gray, paths, load }),
+        chooser: new UpstreamChooser({ zone: zoneA, clock, random: seededRandom(1), gray, paths, load, floor }),
         load,
         paths,
-        outcomes: new SharedOutcomes({ clock, gray, announce: () => {} }),
+        outcomes: new SharedOutcomes({ clock, gray, floor, announce: () => {} }),
+        floor,
         allowance,
         candidates: () => ["u1", "u2", "u3"].map(name => knownUpstream(name)),
         crashes,
--- a/packages/gateway/src/lib/request/attempts.ts
+++ b/packages/gateway/src/lib/request/attempts.ts
@@ -4,6 +4,7 @@
 import type { FleetLoad } from "../balance/fleet-load.js";
 import type { RetryAllowance } from "../balance/retry-allowance.js";
 import type { Choice, UpstreamChooser } from "../balance/upstream-chooser.js";
+import type { FloorKeeper } from "../health/floor-keeper.js";
 import type { PathHealth } from "../health/path-health.js";
 import type { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { DecodedRequest, GatewayRoute, ListedUpstream } from "../model.js";
@@ -32,6 +33,7 @@
     readonly load: FleetLoad;
     readonly paths: PathHealth;
     readonly outcomes: SharedOutcomes;
+    readonly floor: Pick<FloorKeeper, "noteUse">;
     readonly allowance: RetryAllowance;
     readonly candidates: (service: ServiceId) => readonly KnownUpstream[];
     readonly crashes: CrashGuard;
@@ -170,6 +172,7 @@
     }
 
     #start(progress: Progress, choice: Choice, signal: AbortSignal, running: Set<Promise<void>>): void {
+        this.#options.floor.noteUse(choice.upstream.listed.id);
         progress.sent++;
         progress.tried.add(choice.upstream.listed.id);
         const attempt = this.#attempt(progress, choice, signal).then(() => {
--- a/packages/gateway/src/lib/settings.test.ts
+++ b/packages/gateway/src/lib/settings.test.ts
@@ -23,6 +23,7 @@
     rateWindowSeconds: 5,
     rateOverage: 0.1,
     rateSlack: 20,
+    floorShare: 0.7,
     memoryMb: 350,
 };
 
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -46,6 +46,8 @@
     rateOverage: z.number().min(0),
     /** Requests by which the count may exceed it besides. */
     rateSlack: z.number().min(0),
+    /** Share of the upstreams of a service that must get requests while some of its requests fail. */
+    floorShare: z.number().min(0).max(1),
     memoryMb: positive,
 });
 
