--- a/packages/gateway/src/lib/balance/upstream-chooser.ts
+++ b/packages/gateway/src/lib/balance/upstream-chooser.ts
@@ -8,8 +8,8 @@
 
 /** Cost of a request that an upstream fails, for a request that cannot be repeated. All costs are relative to it. */
 const failureCost = 1;
-/** The same for a request that can be repeated: gray upstreams fail within milliseconds, and the fleet learns of it. */
-const repeatableFailureCost = 0.03;
+/** The same for a request that can be repeated: it loses time and an extra attempt, and finds out about the upstream. */
+const repeatableFailureCost = 0.12;
 /** Cost of a full upstream per request that waits for each slot. */
 const queueCost = 0.35;
 /** Cost of a busy upstream below its slots; it spreads requests and keeps room for those that arrive together. */
