--- a/packages/gateway/src/lib/balance/upstream-chooser.ts
+++ b/packages/gateway/src/lib/balance/upstream-chooser.ts
@@ -14,8 +14,8 @@
 const queueCost = 0.35;
 /** Cost of a busy upstream below its slots; it spreads requests and keeps room for those that arrive together. */
 const busyCost = 0.08;
-/** Cost of traffic to another zone. */
-const otherZoneCost = 0.015;
+/** Cost of traffic to another zone: the price of some 7 KB, as part of the worth of a request. */
+const otherZoneCost = 0.035;
 /** Part of its slots that an upstream has while it warms up. */
 const warmingShare = 0.5;
 /**
