Give the caller no length where the upstream gave none

Suspected: the connection ends in order there, which cannot be told from the end of the answer; a run with traces did not meet the case. Change: such an answer goes out without length or chunks and ends the caller's connection. The new test failed before.

--- a/packages/gateway/src/lib/http/front-server.test.ts
+++ b/packages/gateway/src/lib/http/front-server.test.ts
@@ -5,6 +5,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { DecodedRequest } from "../model.js";
+import type { CallerAnswer } from "../request/ports.js";
 import type { ReceivedRequest } from "../request/request-handler.js";
 import { FrontServer } from "./front-server.js";
 
@@ -25,7 +26,7 @@
 }
 
 const withServer = async (
-    handle: (received: ReceivedRequest) => Promise<Answer | undefined>,
+    handle: (received: ReceivedRequest) => Promise<CallerAnswer | undefined>,
     run: (setup: Setup) => Promise<void>,
 ): Promise<void> => {
     const port = await freePort();
@@ -95,6 +96,14 @@
         assert.match(answer, /content-length: 7/i);
     }));
 
+// Guards against half an answer that looks whole: without a length from the upstream the caller gets none either.
+test("an answer that ended with its connection has no length", () =>
+    withServer(async received => ({ ...await echo(received), endsWithConnection: true }), async ({ port }) => {
+        const answer = await exchange(port, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert.not(/content-length|transfer-encoding/i.test(answer));
+        assert.match(answer, /connection: close[^]*\r\n\r\nGET \/x 0$/i);
+    }));
+
 // Guards against requests smuggled inside others, and against input beyond the limits.
 for (
     const [name, text, status] of [
--- a/packages/gateway/src/lib/http/front-server.ts
+++ b/packages/gateway/src/lib/http/front-server.ts
@@ -2,14 +2,14 @@
 import { serve } from "@hono/node-server";
 import type { HttpBindings } from "@hono/node-server";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
-import type { Answer, Clock, Headers as HeaderList, LogPort } from "@sniperoad/core";
+import type { Clock, Headers as HeaderList, LogPort } from "@sniperoad/core";
 import { splitAddress } from "@sniperoad/daemon";
 import { Hono } from "hono";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { reasonOf } from "../errors.js";
 import type { CallerLimits } from "../model.js";
-import type { HeaderDialect } from "../request/ports.js";
+import type { CallerAnswer, HeaderDialect } from "../request/ports.js";
 import type { ReceivedRequest } from "../request/request-handler.js";
 
 /** Limits before there is a configuration, of the size that proxies commonly have. */
@@ -31,7 +31,7 @@
     readonly address: string;
     readonly dialect: Pick<HeaderDialect, "decodeRequest">;
     readonly limits: () => CallerLimits;
-    readonly handle: (received: ReceivedRequest) => Promise<Answer | undefined>;
+    readonly handle: (received: ReceivedRequest) => Promise<CallerAnswer | undefined>;
     /** Whether answers tell callers to use another instance from now on. */
     readonly isLeaving: () => boolean;
 }
@@ -131,11 +131,17 @@
         }
     }
 
-    #write(outgoing: ServerResponse, answer: Answer, mustClose: boolean): void {
+    #write(outgoing: ServerResponse, answer: CallerAnswer, mustClose: boolean): void {
         const headers = answer.headers.filter(([name]) => !connectionHeaders.has(name));
         const hasBody = !bodilessStatuses.has(answer.status);
-        const length: [string, string][] = hasBody ? [["content-length", String(answer.body.length)]] : [];
-        const last: [string, string][] = mustClose || this.#options.isLeaving() ? [["connection", "close"]] : [];
+        const isOpenEnded = answer.endsWithConnection ?? false;
+        const length: [string, string][] = hasBody && !isOpenEnded
+            ? [["content-length", String(answer.body.length)]]
+            : [];
+        const isLast = mustClose || isOpenEnded || this.#options.isLeaving();
+        const last: [string, string][] = isLast ? [["connection", "close"]] : [];
+        // Chunks would state an end as well.
+        outgoing.useChunkedEncodingByDefault = !isOpenEnded;
         outgoing.writeHead(answer.status, [...headers, ...length, ...last].flat());
         outgoing.end(hasBody ? answer.body : undefined);
     }
--- a/packages/gateway/src/lib/request/ports.ts
+++ b/packages/gateway/src/lib/request/ports.ts
@@ -1,5 +1,5 @@
 /** Ports of the request path. */
-import type { Headers, OrganisationId } from "@sniperoad/core";
+import type { Answer, Headers, OrganisationId } from "@sniperoad/core";
 import type { AnswerMarks, DecodedRequest, ListedUpstream } from "../model.js";
 
 /** A request as it goes to an upstream. */
@@ -17,11 +17,17 @@
     readonly signal: AbortSignal;
 }
 
+/** An answer as a caller gets it. */
+export interface CallerAnswer extends Answer {
+    /**
+     * The upstream stated no length, so the end of its connection was the end of the answer. Whether that end was early
+     * cannot be told, so the caller must not get a length either.
+     */
+    readonly endsWithConnection?: boolean;
+}
+
 /** A whole answer of an upstream. */
-export interface UpstreamAnswer {
-    readonly status: number;
-    readonly headers: Headers;
-    readonly body: Uint8Array;
+export interface UpstreamAnswer extends CallerAnswer {
     readonly marks: AnswerMarks;
 }
 
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -8,7 +8,7 @@
 import type { HeldConfig, IndexedConfig } from "../routing/held-config.js";
 import type { Attempts, Work, WorkResult } from "./attempts.js";
 import type { CrashGuard } from "./crash-guard.js";
-import type { HeaderDialect } from "./ports.js";
+import type { CallerAnswer, HeaderDialect } from "./ports.js";
 
 /** Deadline of a caller that states none. */
 const defaultDeadlineMs = 30_000;
@@ -60,7 +60,7 @@
     }
 
     /** The answer; undefined when the caller has gone. */
-    async handle(received: ReceivedRequest): Promise<Answer | undefined> {
+    async handle(received: ReceivedRequest): Promise<CallerAnswer | undefined> {
         const { config, clock, onDone } = this.#options;
         const { request } = received;
         const indexed = config.current;
@@ -157,12 +157,12 @@
         return { kind: "refused", refusal: { ...refusal, outcome: "not-run" } };
     }
 
-    #toAnswer(result: HandlingResult, request: DecodedRequest): Answer | undefined {
+    #toAnswer(result: HandlingResult, request: DecodedRequest): CallerAnswer | undefined {
         if (result.kind === "refused") {
             return this.#problem(result.refusal, request);
         }
         return match(result.result)
-            .with({ kind: "answer" }, ({ answer }): Answer => answer)
+            .with({ kind: "answer" }, ({ answer }): CallerAnswer => answer)
             .with(
                 { kind: "not-run" },
                 ({ reason }) =>
--- a/packages/gateway/src/lib/request/upstream-connections.ts
+++ b/packages/gateway/src/lib/request/upstream-connections.ts
@@ -169,10 +169,11 @@
         }
         const body = new Uint8Array(await response.body.arrayBuffer());
         // An answer without a length ends with its connection, and undici takes a reset for its end too.
-        if (this.#failed.has(client) && !isDelimited(headers)) {
+        const endsWithConnection = !isDelimited(headers) && !bodilessStatuses.has(response.statusCode);
+        if (this.#failed.has(client) && endsWithConnection) {
             return { kind: "broken", reason: "the connection was reset within the answer", hadHeaders: true };
         }
-        const answer: UpstreamAnswer = { status: response.statusCode, headers, body, marks };
+        const answer: UpstreamAnswer = { status: response.statusCode, headers, body, marks, endsWithConnection };
         return { kind: "answer", answer };
     }
 }
@@ -188,6 +189,9 @@
     body.destroy();
 };
 
+/** Statuses whose answers have no body. */
+const bodilessStatuses = new Set([204, 304]);
+
 const isDelimited = (headers: Headers): boolean =>
     headers.some(([name]) => name === "content-length" || name === "transfer-encoding");
 
