--- a/packages/gateway/src/lib/settings-file.ts
+++ b/packages/gateway/src/lib/settings-file.ts
@@ -9,7 +9,7 @@
 /** How often the file is read; it may change without a signal. */
 const readIntervalMs = 2_000;
 
-/** Fields that are used only at the start: identity, addresses and the store. */
+/** Fields that are used only at the start: identity and addresses. */
 const startFields: readonly (keyof GatewaySettings)[] = [
     "instance",
     "zone",
@@ -19,8 +19,7 @@
     "metricsAddress",
     "peerAddress",
     "seedPeers",
-    "store",
-    "memoryMb",
+    "storeAddress",
 ];
 
 /** What {@link SettingsFile} needs. */
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -22,12 +22,8 @@
     peerAddress: address,
     /** Peer addresses of instances that may be up; some may be stale. */
     seedPeers: z.array(address),
-    store: z.object({
-        address,
-        /** Calls a second that all instances together may make. */
-        readsPerSecond: positive,
-        writesPerSecond: positive,
-    }),
+    /** Address of the object store. */
+    storeAddress: address,
     /** Longest time for which callers may keep a directory answer. */
     directoryTtlMaxSeconds: positive,
     /** Time from the stop signal to the end of the process. */
@@ -48,7 +44,6 @@
     rateSlack: z.number().min(0),
     /** Share of the upstreams of a service that must get requests while some of its requests fail. */
     floorShare: z.number().min(0).max(1),
-    memoryMb: positive,
 });
 
 /** Checked settings. */
