--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./lib/daemon.js";
 export * from "./lib/event-log.js";
 export * from "./lib/frames.js";
+export * from "./lib/http-parts.js";
 export * from "./lib/http-server.js";
 export * from "./lib/http-upstream.js";
 export * from "./lib/settings.js";
--- a/packages/daemon/src/lib/http-server.ts
+++ b/packages/daemon/src/lib/http-server.ts
@@ -6,8 +6,9 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
 import { timingSafeEqual } from "node:crypto";
-import type { IncomingMessage, Server } from "node:http";
+import type { Server } from "node:http";
 import * as z from "zod";
+import { readBody } from "./http-parts.js";
 
 /** What the HTTP side asks of the instance. */
 export interface HttpServerContext {
@@ -129,27 +130,6 @@
     return toResponse(answer, context.isLeaving() || body === undefined);
 };
 
-/** The whole body; undefined when it is larger than the limit. */
-const readBody = async (incoming: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> => {
-    if (incoming.headers["content-length"] === undefined && incoming.headers["transfer-encoding"] === undefined) {
-        return emptyBody;
-    }
-    if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
-        return undefined;
-    }
-    const parts: Buffer[] = [];
-    let sizeBytes = 0;
-    for await (const part of incoming as AsyncIterable<Buffer>) {
-        sizeBytes += part.length;
-        if (sizeBytes > maxBytes) {
-            return undefined;
-        }
-        parts.push(part);
-    }
-    return Buffer.concat(parts);
-};
-
-const emptyBody = new Uint8Array(0);
 /** Statuses whose answers have no body. */
 const bodilessStatuses = new Set([204, 205, 304]);
 
--- a/packages/daemon/src/lib/http-upstream.ts
+++ b/packages/daemon/src/lib/http-upstream.ts
@@ -9,10 +9,9 @@
     UpstreamRequest,
     UpstreamResult,
 } from "@sniperoad/core";
-import { createConnection } from "node:net";
 import { Client } from "undici";
 import type { Dispatcher } from "undici";
-import { splitAddress } from "./settings.js";
+import { discardBody, flatHeaders, isNotSent, refusesConnections } from "./http-parts.js";
 
 /** Largest answer that is passed on; answers are buffered whole before the caller sees a byte. */
 export const maxAnswerBytes = 1_048_576;
@@ -96,22 +95,9 @@
 /** Whether a lost connection was a lost process: a process that has ended refuses the next connection. */
 const withCrashCheck = async (result: UpstreamResult, upstream: Upstream): Promise<UpstreamResult> =>
     result.kind === "reset" || result.kind === "truncated"
-        ? { kind: result.kind, isCrash: await refusesConnections(upstream) }
+        ? { kind: result.kind, isCrash: await refusesConnections(upstream.address, connectTimeoutMs) }
         : result;
 
-const refusesConnections = (upstream: Upstream): Promise<boolean> =>
-    new Promise(resolve => {
-        const { host, port } = splitAddress(upstream.address);
-        const socket = createConnection({ host, port, timeout: connectTimeoutMs });
-        const settle = (isRefused: boolean) => {
-            socket.destroy();
-            resolve(isRefused);
-        };
-        socket.on("connect", () => settle(false));
-        socket.on("timeout", () => settle(false));
-        socket.on("error", error => settle((error as NodeJS.ErrnoException).code === "ECONNREFUSED"));
-    });
-
 const openClient = (upstream: Upstream): Client =>
     new Client(`http://${upstream.address}`, {
         pipelining: 1,
@@ -149,7 +135,7 @@
     const headers = flatHeaders(response.headers);
     const echoed = header(headers, "x-request-id");
     if (echoed !== undefined && echoed !== request.id) {
-        abandon(response.body);
+        discardBody(response.body);
         return { kind: "crossed" };
     }
     const parts: Buffer[] = [];
@@ -157,7 +143,7 @@
     for await (const part of response.body as AsyncIterable<Buffer>) {
         sizeBytes += part.length;
         if (sizeBytes > maxAnswerBytes) {
-            abandon(response.body);
+            discardBody(response.body);
             return { kind: "oversize" };
         }
         parts.push(part);
@@ -177,32 +163,18 @@
     return { kind: "answer", answer, draining };
 };
 
-/** Destroying an unread body emits an error event, which ends the process when nothing listens for it. */
-const abandon = (body: Dispatcher.ResponseData["body"]): void => {
-    body.on("error", () => {});
-    body.destroy();
-};
-
 /** An answer that ends only with its connection cannot be told from a truncated one. */
 const isDelimited = (status: number, headers: Headers, method: string): boolean =>
     method === "HEAD" || status === 204 || status === 304
     || header(headers, "content-length") !== undefined
     || header(headers, "transfer-encoding") !== undefined;
 
-const flatHeaders = (headers: Record<string, string | string[] | undefined>): Headers =>
-    Object.entries(headers).flatMap(([name, value]) =>
-        (Array.isArray(value) ? value : [value]).map(one => [name.toLowerCase(), one ?? ""] as const)
-    );
-
 interface Circumstances {
     readonly isTimeout: boolean;
     readonly isCancelled: boolean;
     readonly hasHeaders: boolean;
 }
 
-/** Errors that arise before any byte of the request was written. */
-const notSentCodes = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
-
 const classify = (error: unknown, circumstances: Circumstances): UpstreamResult => {
     if (circumstances.isCancelled) {
         return { kind: "cancelled" };
@@ -210,7 +182,7 @@
     if (circumstances.isTimeout) {
         return { kind: "timeout" };
     }
-    if (notSentCodes.has(String((error as { code?: unknown; }).code))) {
+    if (isNotSent(error)) {
         return { kind: "refused" };
     }
     return { kind: circumstances.hasHeaders ? "truncated" : "reset" };
--- a/packages/gateway/src/lib/http/front-server.test.ts
+++ b/packages/gateway/src/lib/http/front-server.test.ts
@@ -74,7 +74,7 @@
 const echo = (received: ReceivedRequest): Promise<Answer> =>
     Promise.resolve({
         status: 200,
-        headers: [["server-seal", "s"], ["transfer-encoding", "chunked"]],
+        headers: [["x-mark", "s"], ["transfer-encoding", "chunked"]],
         body: Buffer.from(`${received.request.method} ${received.request.target} ${received.body?.length ?? "none"}`),
     });
 
@@ -91,7 +91,7 @@
 test("an answer keeps the upstream's fields and has its own framing", () =>
     withServer(echo, async ({ port }) => {
         const answer = await exchange(port, get("/"));
-        assert.match(answer, /server-seal: s/i);
+        assert.match(answer, /x-mark: s/i);
         assert.not(/transfer-encoding/i.test(answer));
         assert.match(answer, /content-length: 7/i);
     }));
--- a/packages/gateway/src/lib/http/front-server.ts
+++ b/packages/gateway/src/lib/http/front-server.ts
@@ -3,7 +3,7 @@
 import type { HttpBindings } from "@hono/node-server";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import type { Clock, Headers as HeaderList, LogPort } from "@sniperoad/core";
-import { splitAddress } from "@sniperoad/daemon";
+import { readBody, splitAddress } from "@sniperoad/daemon";
 import { Hono } from "hono";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -172,25 +172,3 @@
 /** Size of the header as sent: each field has ": " and a line end. */
 const headerBytes = (headers: HeaderList): number =>
     headers.reduce((sum, [name, value]) => sum + name.length + value.length + 4, 0);
-
-/** The whole body; undefined when it is larger than the limit. */
-const readBody = async (incoming: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> => {
-    if (incoming.headers["content-length"] === undefined && incoming.headers["transfer-encoding"] === undefined) {
-        return emptyBody;
-    }
-    if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
-        return undefined;
-    }
-    const parts: Buffer[] = [];
-    let sizeBytes = 0;
-    for await (const part of incoming as AsyncIterable<Buffer>) {
-        sizeBytes += part.length;
-        if (sizeBytes > maxBytes) {
-            return undefined;
-        }
-        parts.push(part);
-    }
-    return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
-};
-
-const emptyBody = new Uint8Array(0);
--- a/packages/gateway/src/lib/request/upstream-connections.ts
+++ b/packages/gateway/src/lib/request/upstream-connections.ts
@@ -1,7 +1,6 @@
 /** Calls upstreams over HTTP by undici, one request at a time on each connection. */
 import type { Headers, UpstreamId } from "@sniperoad/core";
-import { splitAddress } from "@sniperoad/daemon";
-import { createConnection } from "node:net";
+import { discardBody, flatHeaders, isNotSent, refusesConnections } from "@sniperoad/daemon";
 import { buildConnector, Client } from "undici";
 import type { Dispatcher } from "undici";
 import { reasonOf } from "../errors.js";
@@ -58,18 +57,8 @@
         this.#idle.delete(id);
     }
 
-    isDown(upstream: ListedUpstream): Promise<boolean> {
-        const { host, port } = splitAddress(upstream.address);
-        return new Promise(resolve => {
-            const socket = createConnection({ host, port, timeout: connectTimeoutMs });
-            const settle = (isRefused: boolean): void => {
-                socket.destroy();
-                resolve(isRefused);
-            };
-            socket.on("connect", () => settle(false));
-            socket.on("timeout", () => settle(false));
-            socket.on("error", error => settle((error as NodeJS.ErrnoException).code === "ECONNREFUSED"));
-        });
+    isDown({ address }: ListedUpstream): Promise<boolean> {
+        return refusesConnections(address, connectTimeoutMs);
     }
 
     /** Closes idle connections to upstreams that are no longer listed. */
@@ -164,7 +153,7 @@
         const marks = this.#options.dialect.decodeAnswer(response.statusCode, headers);
         const isForeign = marks.requestId !== undefined && marks.requestId !== call.requestId;
         if (isForeign || marks.isEncoded) {
-            discard(response.body);
+            discardBody(response.body);
             return { kind: "foreign", reason: isForeign ? "answer names another request" : "body is encoded" };
         }
         const body = new Uint8Array(await response.body.arrayBuffer());
@@ -183,32 +172,18 @@
     client.destroy().catch(() => {});
 };
 
-/** Destroying an unread body emits an error event, which ends the process when nothing listens for it. */
-const discard = (body: Dispatcher.ResponseData["body"]): void => {
-    body.on("error", () => {});
-    body.destroy();
-};
-
 /** Statuses whose answers have no body. */
 const bodilessStatuses = new Set([204, 304]);
 
 const isDelimited = (headers: Headers): boolean =>
     headers.some(([name]) => name === "content-length" || name === "transfer-encoding");
 
-const flatHeaders = (headers: Record<string, string | string[] | undefined>): Headers =>
-    Object.entries(headers).flatMap(([name, value]) =>
-        (Array.isArray(value) ? value : [value]).map(one => [name.toLowerCase(), one ?? ""] as const)
-    );
-
 interface Circumstances {
     readonly isTimeout: boolean;
     readonly isCancelled: boolean;
     readonly hadHeaders: boolean;
 }
 
-/** Errors that arise before any byte of the request was written. */
-const notSentCodes = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
-
 const classify = (error: unknown, { isTimeout, isCancelled, hadHeaders }: Circumstances): CallResult => {
     if (isCancelled) {
         return { kind: "cancelled" };
@@ -218,5 +193,5 @@
     }
     const code = String((error as { code?: unknown; }).code ?? "");
     const reason = `${code} ${reasonOf(error)}`.trim();
-    return notSentCodes.has(code) ? { kind: "refused", reason } : { kind: "broken", reason, hadHeaders };
+    return isNotSent(error) ? { kind: "refused", reason } : { kind: "broken", reason, hadHeaders };
 };
