--- /dev/null
+++ b/packages/gateway/src/lib/template.test.ts
@@ -0,0 +1,43 @@
+import { readFileSync } from "node:fs";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { parseGatewaySettings } from "./settings.js";
+
+const template = readFileSync(new URL("../../../../deploy/settings.jsonc", import.meta.url), "utf8");
+
+/** What the platform puts in the place of each field. */
+const values: Readonly<Record<string, unknown>> = {
+    node: "front-1",
+    zone: "zone-a",
+    ip: "10.0.0.1",
+    seeds: ["10.0.0.2:8407"],
+    "listen.front": "10.0.0.1:8405",
+    "listen.directory": "10.0.0.1:8404",
+    "listen.ready": "10.0.0.1:8406",
+    "listen.control": "10.0.0.1:8407",
+    "platform.address": "10.0.0.9:8408",
+    "bounds.ttl_max_s": 5,
+    "bounds.grace_s": 6,
+    "bounds.config_apply_ms": 2_000,
+    "bounds.strict_revoke": false,
+    "bounds.retry_budget_ratio": 0.2,
+    "bounds.retry_budget_burst": 62,
+    "bounds.quota_window_s": 5,
+    "bounds.quota_overage": 0.1,
+    "bounds.quota_slack": 20,
+    "bounds.floor_share": 0.7,
+};
+
+// Guards against a template that no instance can start with, which only the platform would find.
+test("the template of the settings, filled in, is read", () => {
+    const text = template.replace(
+        /\{\{([\w.]+)(\|json)?\}\}/g,
+        (_all, field: string, json: string | undefined) =>
+            json === undefined ? String(values[field]) : JSON.stringify(values[field]),
+    );
+    const settings = parseGatewaySettings(text, "settings.jsonc");
+    assert.is(settings.storeAddress, "10.0.0.9:8408");
+    assert.is(settings.metricsAddress, "10.0.0.1:9464");
+});
+
+test.run();
