--- a/packages/gateway/src/lib/fleet/gossip.ts
+++ b/packages/gateway/src/lib/fleet/gossip.ts
@@ -153,6 +153,7 @@
             return;
         }
         this.#lastSearchMs = clock.monotonicMs();
+        this.#tellMembers();
         const silent = roster.known().map(member => member.beat.peerAddress);
         const targets = new Set([...this.#contacts, ...silent].filter(address => !roster.isHeard(address)));
         if (targets.size > 0) {
@@ -160,6 +161,21 @@
         }
     }
 
+    /**
+     * Tells a random instance of the others. Instances that start together may miss each other's first beats, and
+     * nobody else would ever tell them.
+     */
+    #tellMembers(): void {
+        const { roster, random, datagrams } = this.#options;
+        const addresses = addressesOf(roster.live());
+        const target = addresses[Math.floor(random() * addresses.length)];
+        if (target !== undefined) {
+            const first = Math.floor(random() * addresses.length);
+            const rotated = [...addresses.slice(first), ...addresses.slice(0, first)];
+            datagrams.send(target, { kind: "members", addresses: rotated.slice(0, maxMemberAddresses) });
+        }
+    }
+
     #receive(datagram: Datagram): void {
         if (this.#isStopped) {
             return;
