Revert: close a peer connection that was silent for the time of a call

Short calls of the former path may go without an answer while longer ones wait on the same connection, which were cut.

--- a/packages/daemon/src/lib/tcp-peers.ts
+++ b/packages/daemon/src/lib/tcp-peers.ts
@@ -114,14 +114,9 @@
             );
         }
         const sequence = ++this.#sequence;
-        const bytesBefore = socket.bytesRead;
         return new Promise<unknown>((resolve, reject) => {
             const timer = this.#options.clock.after(timeoutMs, () => {
                 this.#waiting.delete(sequence);
-                // A connection may go silent for good without a reset; the next call opens a new one.
-                if (socket.bytesRead === bytesBefore) {
-                    socket.destroy();
-                }
                 reject(
                     new PeerUnavailableError(
                         `no reply to ${method.name} from ${to} within ${timeoutMs} ms; ask another instance`,
