--- a/packages/daemon/src/lib/http-server.ts
+++ b/packages/daemon/src/lib/http-server.ts
@@ -8,7 +8,7 @@
 import { timingSafeEqual } from "node:crypto";
 import type { Server } from "node:http";
 import * as z from "zod";
-import { readBody } from "./http-utils.js";
+import { hasValidHeaders, readBody } from "./http-utils.js";
 
 /** What the HTTP server requires of the instance. */
 export interface HttpServerContext {
@@ -56,6 +56,14 @@
 
 const createApp = (context: HttpServerContext): Hono<Bindings> => {
     const app = new Hono<Bindings>();
+    app.use("*", async (c, next) => {
+        if (!hasValidHeaders(c.env.incoming.rawHeaders)) {
+            return c.json({ title: "Malformed request", detail: "remove the invalid header name" }, 400, {
+                connection: "close",
+            });
+        }
+        await next();
+    });
     app.get("/directory", c => c.json(context.directory(c.req.query("zone")) as object));
     app.get("/admin/status", c => c.json(context.status() as object));
     app.post("/admin/withdrawals", async c => {
--- a/packages/daemon/src/lib/http-utils.ts
+++ b/packages/daemon/src/lib/http-utils.ts
@@ -1,5 +1,6 @@
 /** HTTP utilities for servers and clients. */
 import type { Headers } from "@sniperoad/core";
+import { validateHeaderName, validateHeaderValue } from "node:http";
 import type { IncomingMessage } from "node:http";
 import { createConnection } from "node:net";
 import type { Dispatcher } from "undici";
@@ -32,6 +33,28 @@
     return Buffer.concat(chunks);
 };
 
+/**
+ * Whether each name is a token and each value has only characters that HTTP allows. The parser of some Node.js releases
+ * accepts other names, such as one with a space, and such a header cannot be forwarded.
+ *
+ * @param rawHeaders names and values in turn, as in `IncomingMessage.rawHeaders`
+ * @example
+ * hasValidHeaders(["x-a", "1"]); // true
+ * hasValidHeaders(["x a", "1"]); // false
+ */
+export const hasValidHeaders = (rawHeaders: readonly string[]): boolean => {
+    try {
+        for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+            validateHeaderName(rawHeaders[index]!);
+            validateHeaderValue(rawHeaders[index]!, rawHeaders[index + 1]!);
+        }
+        return true;
+    }
+    catch {
+        return false;
+    }
+};
+
 /** Converts the header fields of a response to a list with lower-case names. */
 export const flattenHeaders = (headers: Record<string, string | string[] | undefined>): Headers =>
     Object.entries(headers).flatMap(([name, value]) =>
--- a/packages/gateway/src/lib/http/caller-server.test.ts
+++ b/packages/gateway/src/lib/http/caller-server.test.ts
@@ -113,6 +113,7 @@
             400,
         ],
         ["a request that is not HTTP", "hello\r\n\r\n", 400],
+        ["a header name with a space", get("/", "bad header: 1\r\n"), 400],
         ["a large header", get("/", `X: ${"x".repeat(600)}\r\n`), 431],
         [
             "a body beyond the limit",
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -3,7 +3,7 @@
 import type { HttpBindings } from "@hono/node-server";
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import type { Clock, Headers as HeaderList, LogPort } from "@sniperoad/core";
-import { readBody, splitAddress } from "@sniperoad/daemon";
+import { hasValidHeaders, readBody, splitAddress } from "@sniperoad/daemon";
 import { Hono } from "hono";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -114,6 +114,10 @@
             }
         });
         this.#activeSockets.add(incoming.socket);
+        if (!hasValidHeaders(incoming.rawHeaders)) {
+            this.#write(outgoing, { status: 400, headers: [], body: new Uint8Array(0) }, true);
+            return;
+        }
         const headers = headerList(incoming.rawHeaders);
         if (headerBytes(headers) > limits().maxHeaderBytes) {
             this.#write(outgoing, { status: 431, headers: [], body: new Uint8Array(0) }, true);
