--- a/packages/gateway/src/lib/balance/fleet-load.ts
+++ b/packages/gateway/src/lib/balance/fleet-load.ts
@@ -1,17 +1,10 @@
 /** Counts the requests in flight at each upstream, from all instances. */
-import type { InstanceId, UpstreamId } from "@sniperoad/core";
-import type { ReportedInFlight } from "../fleet/heartbeat.js";
-
-/** Requests in flight from one instance. */
-export interface LoadReport {
-    readonly id: InstanceId;
-    /** Increases with each change at the instance, since reports may arrive out of order. */
-    readonly sequence: number;
-    readonly inFlight: readonly ReportedInFlight[];
-}
+import type { UpstreamId } from "@sniperoad/core";
+import type { UpstreamCount } from "../fleet/heartbeat.js";
+import { nameKey } from "../name-key.js";
 
 /**
- * Adds the requests in flight from this instance to those that the others last reported.
+ * Adds the requests in flight from this instance to those of the others.
  *
  * @example
  * const end = load.beginRequest(upstream);
@@ -20,14 +13,16 @@
  */
 export class FleetLoad {
     readonly #onChange: () => void;
+    readonly #remoteInFlight: (key: number) => number;
     readonly #local = new Map<UpstreamId, number>();
-    readonly #remote = new Map<UpstreamId, number>();
-    readonly #reports = new Map<InstanceId, LoadReport>();
-    #sequence = 0;
 
-    /** `onChange` is called when a request of this instance begins or ends. */
-    constructor(onChange: () => void = () => {}) {
+    /**
+     * `onChange` is called when a request of this instance begins or ends. `remoteInFlight` returns the requests in
+     * flight from other instances to the upstream with a key, see `nameKey`.
+     */
+    constructor(onChange: () => void = () => {}, remoteInFlight: (key: number) => number = () => 0) {
         this.#onChange = onChange;
+        this.#remoteInFlight = remoteInFlight;
     }
 
     /** Counts a request until the returned function is called. */
@@ -37,42 +32,19 @@
     }
 
     inFlight(upstream: UpstreamId): number {
-        return (this.#local.get(upstream) ?? 0) + (this.#remote.get(upstream) ?? 0);
+        return (this.#local.get(upstream) ?? 0) + this.#remoteInFlight(nameKey(upstream));
     }
 
-    /** Requests of this instance only, for the other instances. */
-    report(): Omit<LoadReport, "id"> {
-        return {
-            sequence: this.#sequence,
-            inFlight: [...this.#local].map(([upstream, count]) => ({ upstream, count })),
-        };
+    /** Requests of this instance only, for its heartbeats. */
+    report(): readonly UpstreamCount[] {
+        return [...this.#local].map(([upstream, count]) => ({ upstream, count }));
     }
 
     localInFlight(): number {
         return [...this.#local.values()].reduce((sum, count) => sum + count, 0);
     }
 
-    /** Replaces the last report of an instance; an older report is ignored. */
-    recordReport(report: LoadReport): void {
-        const previous = this.#reports.get(report.id);
-        if (previous !== undefined && previous.sequence >= report.sequence) {
-            return;
-        }
-        previous?.inFlight.forEach(({ upstream, count }) => add(this.#remote, upstream, -count));
-        report.inFlight.forEach(({ upstream, count }) => add(this.#remote, upstream, count));
-        this.#reports.set(report.id, report);
-    }
-
-    /** Removes the reports of instances that are no longer live. */
-    retain(isLive: (instance: InstanceId) => boolean): void {
-        for (const { id, inFlight } of [...this.#reports.values()].filter(report => !isLive(report.id))) {
-            inFlight.forEach(({ upstream, count }) => add(this.#remote, upstream, -count));
-            this.#reports.delete(id);
-        }
-    }
-
     #change(upstream: UpstreamId, change: number): void {
-        this.#sequence++;
         add(this.#local, upstream, change);
         this.#onChange();
     }
--- /dev/null
+++ b/packages/gateway/src/lib/fleet/digest-publisher.ts
@@ -0,0 +1,179 @@
+/** Distributes what this instance receives as an aggregator of its zone. */
+import type { Clock, Random, Timer } from "@sniperoad/core";
+import type { GatewayInstance } from "../model.js";
+import type { SharedCollection } from "../store/state-exchange.js";
+import { rankAggregators } from "./aggregator-selector.js";
+import { maxIdentities, maxOutcomes } from "./datagrams.js";
+import type { ZoneDigest, ZoneLoads } from "./digest.js";
+import type { Distributor } from "./distributor.js";
+import { instanceInfo } from "./heartbeat.js";
+import type { CollectionState, Heartbeat } from "./heartbeat.js";
+import { ZoneAggregator } from "./zone-aggregator.js";
+import type { OutcomeBatch } from "./zone-aggregator.js";
+
+/** Minimum time between distributions of urgent outcomes, and between digests with urgent changes. */
+const minUrgentGapMs = 40;
+/** Fraction of the digest interval after which a digest reports new members; many may start at once. */
+const memberChangeFraction = 0.4;
+/** Number of digest intervals for which an instance stays a standby without a digest of the other aggregator. */
+const standbyIntervals = 1.5;
+/** Share of the members of a standby that the other aggregator's digest must list. */
+const coveredShare = 0.9;
+
+/** Options of {@link DigestPublisher}. */
+export interface DigestPublisherOptions {
+    readonly self: GatewayInstance;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly distributor: Distributor;
+    readonly intervalMs: () => number;
+    readonly collections: () => Readonly<Record<SharedCollection, CollectionState>>;
+    /** Processes what this instance distributes to the others. */
+    readonly onDigest: (digest: ZoneDigest) => void;
+    readonly onLoads: (loads: ZoneLoads) => void;
+    readonly onOutcomes: (batch: OutcomeBatch) => void;
+}
+
+/**
+ * Distributes a digest periodically, and outcomes, identities and urgent changes soon, as long as any instance uses this
+ * one as its aggregator. While a higher-ranked aggregator of the zone reports the same members, this one is a standby:
+ * its digests state liveness only.
+ *
+ * @example
+ * publisher.start();
+ * publisher.recordReport(heartbeat, true);
+ */
+export class DigestPublisher {
+    readonly #options: DigestPublisherOptions;
+    readonly #aggregator: ZoneAggregator;
+    /** Identities to distribute. */
+    #newIdentities: GatewayInstance[] = [];
+    #lastUrgentMs = -Infinity;
+    #lastDigestMs = -Infinity;
+    #timer: Timer | undefined;
+    #earlyDigest: { readonly timer: Timer; readonly dueMs: number; } | undefined;
+    #urgentTimer: Timer | undefined;
+    /** Time until which this instance is a standby. */
+    #standbyUntilMs = -Infinity;
+    #isStopped = false;
+
+    constructor(options: DigestPublisherOptions) {
+        this.#options = options;
+        this.#aggregator = new ZoneAggregator(options);
+    }
+
+    start(): void {
+        this.#tick();
+    }
+
+    stop(): void {
+        this.#isStopped = true;
+        [this.#timer, this.#earlyDigest?.timer, this.#urgentTimer].forEach(timer => timer?.cancel());
+    }
+
+    /** Records the report of an instance, or of this one, that uses this instance as its aggregator. */
+    recordReport(heartbeat: Heartbeat, isUrgent: boolean): void {
+        const { hasMemberChanged, isNew } = this.#aggregator.record(heartbeat);
+        if (isNew) {
+            this.#newIdentities.push(instanceInfo(heartbeat));
+        }
+        if (hasMemberChanged) {
+            const gapMs = heartbeat.isLeaving ? minUrgentGapMs : this.#options.intervalMs() * memberChangeFraction;
+            this.#scheduleDigest(gapMs);
+        }
+        if (isUrgent) {
+            this.#scheduleUrgent();
+        }
+    }
+
+    /** Records the digest of another aggregator, which may make this instance a standby. */
+    recordOther({ aggregator, members, usage }: ZoneDigest): void {
+        const { self, clock, intervalMs } = this.#options;
+        const isPrimary = aggregator.zone === self.zone
+            && usage !== undefined
+            && rankAggregators([self, aggregator])[0] === aggregator;
+        if (isPrimary) {
+            const isCovered = members.length >= this.#aggregator.memberCount() * coveredShare;
+            this.#standbyUntilMs = isCovered ? clock.monotonicMs() + intervalMs() * standbyIntervals : -Infinity;
+        }
+    }
+
+    /** As an aggregator, distributes a digest soon, since a member or the state of this instance has changed. */
+    announceState(): void {
+        this.#scheduleDigest(minUrgentGapMs);
+    }
+
+    /** Schedules a digest before the next periodic one, at least `gapMs` after the last one. */
+    #scheduleDigest(gapMs: number): void {
+        const { clock } = this.#options;
+        const nowMs = clock.monotonicMs();
+        const dueMs = Math.max(nowMs, this.#lastDigestMs + gapMs);
+        if (this.#isStopped || this.#earlyDigest !== undefined && this.#earlyDigest.dueMs <= dueMs) {
+            return;
+        }
+        this.#earlyDigest?.timer.cancel();
+        const timer = clock.after(dueMs - nowMs, () => {
+            this.#earlyDigest = undefined;
+            this.#distributeUrgent();
+            this.#distributeDigest();
+        });
+        this.#earlyDigest = { timer, dueMs };
+    }
+
+    #scheduleUrgent(): void {
+        const { clock } = this.#options;
+        const delayMs = Math.max(0, this.#lastUrgentMs + minUrgentGapMs - clock.monotonicMs());
+        this.#urgentTimer ??= clock.after(delayMs, () => {
+            this.#urgentTimer = undefined;
+            this.#distributeUrgent();
+        });
+    }
+
+    #distributeUrgent(): void {
+        this.#lastUrgentMs = this.#options.clock.monotonicMs();
+        const { outcomes, crashes } = this.#aggregator.takeOutcomes();
+        for (let start = 0; start < Math.max(outcomes.length, crashes.length); start += maxOutcomes) {
+            const batch = {
+                outcomes: outcomes.slice(start, start + maxOutcomes),
+                crashes: crashes.slice(start, start + maxOutcomes),
+            };
+            this.#options.distributor.toFleet({ kind: "outcomes", ...batch });
+            this.#options.onOutcomes(batch);
+        }
+        const identities = this.#newIdentities;
+        this.#newIdentities = [];
+        for (let start = 0; start < identities.length; start += maxIdentities) {
+            const infos = identities.slice(start, start + maxIdentities);
+            this.#options.distributor.toFleet({ kind: "identities", infos });
+        }
+    }
+
+    #distributeDigest(): void {
+        this.#lastDigestMs = this.#options.clock.monotonicMs();
+        if (this.#aggregator.isActive) {
+            const { distributor, onDigest, onLoads } = this.#options;
+            const isStandby = this.#lastDigestMs < this.#standbyUntilMs;
+            const digest = this.#aggregator.createDigest(isStandby);
+            distributor.toFleet({ kind: "digest", digest });
+            onDigest(digest);
+            const loads = this.#aggregator.takeLoads(isStandby);
+            if (loads !== undefined) {
+                distributor.toFleet({ kind: "loads", loads });
+                onLoads(loads);
+            }
+        }
+    }
+
+    #tick(): void {
+        const { clock, random, intervalMs } = this.#options;
+        if (this.#isStopped) {
+            return;
+        }
+        const delayMs = intervalMs();
+        if (clock.monotonicMs() - this.#lastDigestMs >= delayMs / 2) {
+            this.#distributeUrgent();
+            this.#distributeDigest();
+        }
+        this.#timer = clock.after(delayMs * (0.9 + 0.2 * random()), () => this.#tick());
+    }
+}
--- a/packages/gateway/src/lib/fleet/directory.ts
+++ b/packages/gateway/src/lib/fleet/directory.ts
@@ -57,13 +57,13 @@
 
     #usable(): readonly Pick<GatewayInstance, "zone" | "callerAddress">[] {
         const { self, roster, isReady } = this.#options;
-        const isServing = ({ heartbeat }: Member): boolean => heartbeat.isReady && !heartbeat.isLeaving;
+        const isServing = ({ isReady, isLeaving }: Member): boolean => isReady && !isLeaving;
         const known = roster.known().filter(isServing);
         const live = roster.live().filter(isServing);
-        // An instance that receives heartbeats from fewer than half of the others is probably partitioned; the others
+        // An instance that hears of fewer than half of the others is probably partitioned; the others
         // are probably running, so they stay listed.
         const members = live.length * 2 < known.length ? known : live;
-        const others = members.map(member => member.heartbeat);
+        const others = members.map(({ info }) => info);
         return isReady() ? [self, ...others] : others;
     }
 
--- a/packages/gateway/src/lib/fleet/heartbeat-codec.ts
+++ b/packages/gateway/src/lib/fleet/heartbeat-codec.ts
@@ -1,93 +1,80 @@
-/** Wire format of heartbeats. An instance decodes hundreds per second, so fields have positions instead of names. */
+/** Wire format of heartbeats. An aggregator decodes hundreds per second, so fields have positions instead of names. */
 import type { InstanceId, OrganisationId, UpstreamId, ZoneId } from "@sniperoad/core";
-import { Encoder } from "cbor-x";
-import type { CollectionState, Heartbeat, OutcomeKind, ReportedInFlight } from "./heartbeat.js";
-import { DatagramError, readBoolean, readCount, readList, readText } from "./wire-read.js";
+import type { GatewayInstance } from "../model.js";
+import { outcomeKinds } from "./heartbeat.js";
+import type { CollectionState, Heartbeat, UpstreamCount } from "./heartbeat.js";
+import { readBoolean, readCount, readList, readText } from "./wire-read.js";
 
-/** An encoded heartbeat. Relays forward its bytes unchanged. */
-export interface EncodedHeartbeat {
-    readonly id: InstanceId;
-    readonly sequence: number;
-    readonly bytes: Uint8Array;
-}
-
-/** Maximum number of entries per list in a heartbeat; the rest is sent later only if it is reported again. */
+/** Maximum number of entries per list in a heartbeat; the platform's largest fleets stay far below it. */
 const maxListEntries = 400;
-/** Maximum length of the name of a zone, organisation or upstream, in characters. */
+/** Maximum length of the name of an instance, zone, organisation or upstream, in characters. */
 const maxNameLength = 200;
 /** Maximum length of an address or a fingerprint, in characters. */
 const maxAddressLength = 64;
-/** Outcome kinds, indexed by their number on the wire. */
-const outcomeKinds: readonly OutcomeKind[] = ["success", "failure", "silence"];
-
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
+const maxCapacity = 255;
 
-const encodeCollectionState = (state: CollectionState) => [
-    state.revision,
-    state.confirmedAgeMs === undefined ? null : Math.round(state.confirmedAgeMs),
-    state.isReading,
-    Math.round(state.readAgeMs),
+/** Encodes the identity of an instance as a list; {@link decodeInfo} is the inverse. */
+export const encodeInfo = (info: GatewayInstance): readonly unknown[] => [
+    info.id,
+    info.zone,
+    info.callerAddress,
+    info.peerAddress,
+    info.capacity,
 ];
 
-/** Encodes a heartbeat; {@link decodeHeartbeat} is the inverse. */
-export const encodeHeartbeat = (heartbeat: Heartbeat): EncodedHeartbeat => ({
-    id: heartbeat.id,
-    sequence: heartbeat.sequence,
-    bytes: codec.encode([
-        heartbeat.zone,
-        heartbeat.callerAddress,
-        heartbeat.peerAddress,
-        heartbeat.isReady,
-        heartbeat.isLeaving,
-        encodeCollectionState(heartbeat.config),
-        encodeCollectionState(heartbeat.upstreams),
-        heartbeat.usage.slice(0, maxListEntries).map(entry => [entry.organisation, entry.admitted, entry.offered]),
-        heartbeat.outcomes.slice(0, maxListEntries).map(({ sequence, upstream, kind }) => [
-            sequence,
-            upstream,
-            outcomeKinds.indexOf(kind),
-        ]),
-        heartbeat.crashes.slice(0, maxListEntries).map(entry => [entry.sequence, entry.fingerprint, entry.upstream]),
-        heartbeat.loadSequence,
-        encodeInFlight(heartbeat.inFlight),
+/** @throws DatagramError if the value does not match the schema */
+export const decodeInfo = (value: unknown): GatewayInstance => {
+    const [instance, zone, callerAddress, peerAddress, capacity] = readList(value, { length: 5 });
+    return {
+        id: readText<InstanceId>(instance, maxNameLength),
+        zone: readText<ZoneId>(zone, maxNameLength),
+        callerAddress: readText(callerAddress, maxAddressLength),
+        peerAddress: readText(peerAddress, maxAddressLength),
+        capacity: readCount(capacity, maxCapacity),
+    };
+};
+
+/** Encodes a heartbeat as a list; {@link decodeHeartbeat} is the inverse. */
+export const encodeHeartbeat = (heartbeat: Heartbeat): readonly unknown[] => [
+    encodeInfo(heartbeat),
+    heartbeat.sequence,
+    heartbeat.isReady,
+    heartbeat.isLeaving,
+    encodeCollectionState(heartbeat.config),
+    encodeCollectionState(heartbeat.upstreams),
+    heartbeat.usage.slice(0, maxListEntries).map(entry => [entry.organisation, entry.admitted, entry.offered]),
+    encodeCounts(heartbeat.inFlight),
+    encodeCounts(heartbeat.successes),
+    heartbeat.outcomes.slice(0, maxListEntries).map(({ sequence, upstream, kind }) => [
+        sequence,
+        upstream,
+        outcomeKinds.indexOf(kind),
     ]),
-});
+    heartbeat.crashes.slice(0, maxListEntries).map(entry => [entry.sequence, entry.fingerprint, entry.upstream]),
+];
 
 /**
  * Decodes a heartbeat.
  *
- * @throws DatagramError if the bytes do not match the schema
+ * @throws DatagramError if the value does not match the schema
  */
-export const decodeHeartbeat = ({ id, sequence, bytes }: EncodedHeartbeat): Heartbeat => {
-    let value: unknown;
-    try {
-        value = codec.decode(bytes);
-    }
-    catch (cause) {
-        throw new DatagramError("a heartbeat is not valid CBOR; check that only instances send to this port", {
-            cause,
-        });
-    }
+export const decodeHeartbeat = (value: unknown): Heartbeat => {
     const [
-        zone,
-        callerAddress,
-        peerAddress,
+        info,
+        sequence,
         isReady,
         isLeaving,
         config,
         upstreams,
         usage,
+        inFlight,
+        successes,
         outcomes,
         crashes,
-        loadSequence,
-        inFlight,
-    ] = readList(value, { length: 12 });
+    ] = readList(value, { length: 11 });
     return {
-        id,
-        sequence,
-        zone: readText<ZoneId>(zone, maxNameLength),
-        callerAddress: readText(callerAddress, maxAddressLength),
-        peerAddress: readText(peerAddress, maxAddressLength),
+        ...decodeInfo(info),
+        sequence: readCount(sequence),
         isReady: readBoolean(isReady),
         isLeaving: readBoolean(isLeaving),
         config: decodeCollectionState(config),
@@ -97,6 +84,8 @@
             admitted: readCount(admitted),
             offered: readCount(offered),
         })),
+        inFlight: decodeCounts(inFlight),
+        successes: decodeCounts(successes),
         outcomes: decodeEntries(outcomes, 3, ([outcomeSequence, upstream, kind]) => ({
             sequence: readCount(outcomeSequence),
             upstream: readText<UpstreamId>(upstream, maxNameLength),
@@ -107,25 +96,30 @@
             fingerprint: readText(fingerprint, maxAddressLength),
             upstream: readText<UpstreamId>(upstream, maxNameLength),
         })),
-        loadSequence: readCount(loadSequence),
-        inFlight: decodeInFlight(inFlight),
     };
 };
 
-/**
- * Decodes in-flight counts by upstream.
- *
- * @throws DatagramError if the value does not match the schema
- */
-export const decodeInFlight = (value: unknown): readonly ReportedInFlight[] =>
+const encodeCounts = (counts: readonly UpstreamCount[]): unknown =>
+    counts.slice(0, maxListEntries).map(({ upstream, count }) => [upstream, count]);
+
+const decodeCounts = (value: unknown): readonly UpstreamCount[] =>
     decodeEntries(value, 2, ([upstream, count]) => ({
         upstream: readText<UpstreamId>(upstream, maxNameLength),
         count: readCount(count),
     }));
 
-/** Encodes in-flight counts by upstream. */
-export const encodeInFlight = (inFlight: readonly ReportedInFlight[]): unknown =>
-    inFlight.slice(0, maxListEntries).map(({ upstream, count }) => [upstream, count]);
+const encodeCollectionState = (state: CollectionState) => [
+    state.revision,
+    encodeAge(state.confirmedAgeMs),
+    state.isReading,
+    Math.round(state.readAgeMs),
+];
+
+/** Encodes an age that may be unknown. */
+export const encodeAge = (ageMs: number | undefined): number | null => ageMs === undefined ? null : Math.round(ageMs);
+
+/** @throws DatagramError if the value is neither null nor a count */
+export const decodeAge = (value: unknown): number | undefined => value === null ? undefined : readCount(value);
 
 const decodeEntries = <T>(value: unknown, length: number, decode: (entry: readonly unknown[]) => T): readonly T[] =>
     readList(value, { maxLength: maxListEntries }).map(entry => decode(readList(entry, { length })));
@@ -134,7 +128,7 @@
     const [revision, confirmedAgeMs, isReading, readAgeMs] = readList(value, { length: 4 });
     return {
         revision: readCount(revision),
-        confirmedAgeMs: confirmedAgeMs === null ? undefined : readCount(confirmedAgeMs),
+        confirmedAgeMs: decodeAge(confirmedAgeMs),
         isReading: readBoolean(isReading),
         readAgeMs: readCount(readAgeMs),
     };
--- a/packages/gateway/src/lib/fleet/heartbeat.ts
+++ b/packages/gateway/src/lib/fleet/heartbeat.ts
@@ -1,5 +1,6 @@
-/** Heartbeats: the messages by which instances detect each other's liveness and share state. */
-import type { InstanceId, OrganisationId, UpstreamId, ZoneId } from "@sniperoad/core";
+/** Heartbeats: what an instance reports about itself to the aggregators of its zone. */
+import type { OrganisationId, UpstreamId } from "@sniperoad/core";
+import type { GatewayInstance } from "../model.js";
 
 /** The sender's copy of one collection of the store. */
 export interface CollectionState {
@@ -12,12 +13,12 @@
     readonly readAgeMs: number;
 }
 
-/** Request counts of an organisation since the start of the sender's process. */
+/** Recent requests of an organisation at the sender. Counts are of a window, so a repeated report changes nothing. */
 export interface OrganisationUsage {
     readonly organisation: OrganisationId;
-    /** Requests sent to upstreams, retries included. */
+    /** Requests admitted within the window of the rate. */
     readonly admitted: number;
-    /** Requests received from callers. */
+    /** Requests received from callers within the shorter window in which the current demand is estimated. */
     readonly offered: number;
 }
 
@@ -27,9 +28,12 @@
  */
 export type OutcomeKind = "success" | "failure" | "silence";
 
-/** An outcome as reported in a heartbeat. */
+/** Outcome kinds, indexed by their number on the wire. */
+export const outcomeKinds: readonly OutcomeKind[] = ["success", "failure", "silence"];
+
+/** An outcome that may change how other instances use the upstream. */
 export interface ReportedOutcome {
-    /** Increases by one with each outcome of the sender. */
+    /** Increases by one with each such outcome of the sender. */
     readonly sequence: number;
     readonly upstream: UpstreamId;
     readonly kind: OutcomeKind;
@@ -43,19 +47,15 @@
     readonly upstream: UpstreamId;
 }
 
-/** Number of requests in flight from the sender to an upstream. */
-export interface ReportedInFlight {
+/** A number of requests at an upstream. */
+export interface UpstreamCount {
     readonly upstream: UpstreamId;
     readonly count: number;
 }
 
-/** What an instance sends to the others periodically, and early when something urgent has changed. */
-export interface Heartbeat {
-    readonly id: InstanceId;
-    readonly zone: ZoneId;
-    readonly callerAddress: string;
-    readonly peerAddress: string;
-    /** Increases by one with each heartbeat of the sender; detects relayed heartbeats that arrive twice. */
+/** What an instance sends to its aggregators periodically, and early when something urgent has changed. */
+export interface Heartbeat extends GatewayInstance {
+    /** Increases by one with each heartbeat of the sender. */
     readonly sequence: number;
     /** Whether the sender accepts requests from callers. */
     readonly isReady: boolean;
@@ -63,9 +63,16 @@
     readonly config: CollectionState;
     readonly upstreams: CollectionState;
     readonly usage: readonly OrganisationUsage[];
+    /** Requests in flight from the sender. */
+    readonly inFlight: readonly UpstreamCount[];
+    /** Ordinary successes since the previous heartbeat; only the first aggregator receives them. */
+    readonly successes: readonly UpstreamCount[];
+    /** Outcomes that others must know soon, repeated for a while since a heartbeat may be lost. */
     readonly outcomes: readonly ReportedOutcome[];
     readonly crashes: readonly ReportedCrash[];
-    /** Increases with each change of the sender's in-flight counts. */
-    readonly loadSequence: number;
-    readonly inFlight: readonly ReportedInFlight[];
 }
+
+/** The identity of the sender of a heartbeat. */
+export const instanceInfo = (
+    { id, zone, callerAddress, peerAddress, capacity }: GatewayInstance,
+): GatewayInstance => ({ id, zone, callerAddress, peerAddress, capacity });
--- a/packages/gateway/src/lib/fleet/roster.ts
+++ b/packages/gateway/src/lib/fleet/roster.ts
@@ -1,81 +1,189 @@
-/** Tracks other instances by their heartbeats. */
-import type { Clock, InstanceId } from "@sniperoad/core";
-import type { Heartbeat } from "./heartbeat.js";
+/** Tracks the other instances: their identities and when they were last heard. */
+import type { Clock } from "@sniperoad/core";
+import type { GatewayInstance } from "../model.js";
+import { instanceKey } from "../name-key.js";
+import type { SharedCollection } from "../store/state-exchange.js";
 
-/** Time without a heartbeat after which an instance is considered down: five intervals and some delay. */
+/** Time since an instance was last heard after which it is considered down: five intervals and some delay. */
 export const downAfterMs = 1_700;
-/** Time without a heartbeat after which an instance is removed; a fleet rejoins by itself after a shorter partition. */
+/** Time without a sign of an instance after which it is removed; a fleet rejoins by itself after a shorter partition. */
 const expireAfterMs = 60_000;
 
-/** Another instance with its latest heartbeat. */
-export interface Member {
-    readonly heartbeat: Heartbeat;
-    /** Monotonic time at which the heartbeat was received. */
-    readonly receivedMs: number;
+/** Maximum age of the list of live instances, which is built anew only after that or when an instance becomes live. */
+const liveCacheMs = 50;
+
+/** What an instance, or an aggregator on its behalf, reports about it. */
+export interface MemberState {
+    readonly isReady: boolean;
+    readonly isLeaving: boolean;
+}
+
+/** Another instance. */
+export interface Member extends MemberState {
+    readonly info: GatewayInstance;
+    /** See `instanceKey`. */
+    readonly key: number;
+    /** Monotonic time of its last heartbeat; an aggregator that reports the heartbeat states its age. */
+    readonly heardMs: number;
+    /** Newest revision of each collection that the instance is known to hold. */
+    readonly revisions: Readonly<Record<SharedCollection, number>>;
+    /** For each collection that the instance reads from the store: the time of its last read. */
+    readonly lastReadMs: Partial<Record<SharedCollection, number>>;
+}
+
+interface MutableMember extends MemberState {
+    readonly info: GatewayInstance;
+    readonly key: number;
+    isReady: boolean;
+    isLeaving: boolean;
+    heardMs: number;
+    revisions: Record<SharedCollection, number>;
+    lastReadMs: Partial<Record<SharedCollection, number>>;
+}
+
+interface KnownIdentity {
+    readonly info: GatewayInstance;
+    learnedMs: number;
 }
 
 /**
- * Keeps the latest heartbeat of each other instance.
+ * Knows each other instance by its identity, which is learned once, and by the key that digests list while it is
+ * live.
  *
  * @example
- * roster.record(heartbeat);
- * roster.live().map(member => member.heartbeat.callerAddress);
+ * roster.learn(info);
+ * roster.recordHeard(instanceKey(info.id), { isReady: true, isLeaving: false }, 0);
+ * roster.live().map(member => member.info.callerAddress);
  */
 export class Roster {
     readonly #clock: Clock;
+    readonly #identities = new Map<number, KnownIdentity>();
     /** By peer address, so that a restarted process replaces the previous one. */
-    readonly #members = new Map<string, Member>();
-    /** Sequence number of the latest heartbeat of each process. */
-    readonly #sequences = new Map<InstanceId, number>();
+    readonly #members = new Map<string, MutableMember>();
+    #live: { readonly atMs: number; readonly members: readonly Member[]; } | undefined;
 
     constructor(clock: Clock) {
         this.#clock = clock;
     }
 
-    /** Stores a heartbeat, which must be newer than the previous one of its process. */
-    record(heartbeat: Heartbeat): void {
-        const replacedId = this.#members.get(heartbeat.peerAddress)?.heartbeat.id;
-        if (replacedId !== undefined && replacedId !== heartbeat.id) {
-            this.#sequences.delete(replacedId);
+    /** Stores the identity of an instance; it is not live until it is heard. Returns whether it was unknown. */
+    learn(info: GatewayInstance): boolean {
+        const key = instanceKey(info.id);
+        const known = this.#identities.get(key);
+        if (known !== undefined) {
+            known.learnedMs = this.#clock.monotonicMs();
+            return false;
         }
-        this.#sequences.set(heartbeat.id, heartbeat.sequence);
-        this.#members.set(heartbeat.peerAddress, { heartbeat, receivedMs: this.#clock.monotonicMs() });
+        this.#identities.set(key, { info, learnedMs: this.#clock.monotonicMs() });
+        return true;
     }
 
-    /** Sequence number of the latest heartbeat of a process; 0 if there was none. */
-    sequenceOf(instance: InstanceId): number {
-        return this.#sequences.get(instance) ?? 0;
+    /** Identity of the instance with a key; undefined if it is unknown. */
+    identityOf(key: number): GatewayInstance | undefined {
+        return this.#identities.get(key)?.info;
+    }
+
+    /**
+     * Records that an instance was heard `ageMs` ago. Returns false if its identity is unknown.
+     */
+    recordHeard(key: number, { isReady, isLeaving }: MemberState, ageMs: number): boolean {
+        const info = this.#identities.get(key)?.info;
+        if (info === undefined) {
+            return false;
+        }
+        const nowMs = this.#clock.monotonicMs();
+        const heardMs = nowMs - ageMs;
+        const member = this.#members.get(info.peerAddress);
+        if (member?.info.id !== info.id || nowMs - member.heardMs > downAfterMs) {
+            this.#live = undefined;
+        }
+        if (member === undefined || member.info.id !== info.id && member.heardMs < heardMs) {
+            this.#members.set(info.peerAddress, {
+                info,
+                key,
+                isReady,
+                isLeaving,
+                heardMs,
+                revisions: { config: 0, upstreams: 0 },
+                lastReadMs: {},
+            });
+        }
+        else if (member.info.id === info.id && heardMs >= member.heardMs) {
+            member.heardMs = heardMs;
+            member.isReady = isReady;
+            // Leaving is final, but a report that was on its way may not contain it yet.
+            member.isLeaving ||= isLeaving;
+        }
+        return true;
+    }
+
+    /** Records that an instance holds a revision of a collection. */
+    recordRevision(key: number, collection: SharedCollection, revision: number): void {
+        const member = this.#memberOf(key);
+        if (member !== undefined) {
+            member.revisions[collection] = Math.max(member.revisions[collection], revision);
+        }
+    }
+
+    /** Records that an instance reads a collection and last did so `readAgeMs` ago; undefined: it does not read it. */
+    recordReader(key: number, collection: SharedCollection, readAgeMs: number | undefined): void {
+        const member = this.#memberOf(key);
+        if (member === undefined) {
+            return;
+        }
+        if (readAgeMs === undefined) {
+            delete member.lastReadMs[collection];
+        }
+        else {
+            member.lastReadMs[collection] = this.#clock.monotonicMs() - readAgeMs;
+        }
     }
 
     get(peerAddress: string): Member | undefined {
         return this.#members.get(peerAddress);
     }
 
-    /** Instances with a recent heartbeat, leaving ones included. */
+    /** Instances that were heard recently, leaving ones included; the list may be {@link liveCacheMs} old. */
     live(): readonly Member[] {
         const nowMs = this.#clock.monotonicMs();
-        return [...this.#members.values()].filter(member => nowMs - member.receivedMs <= downAfterMs);
+        if (this.#live === undefined || nowMs - this.#live.atMs >= liveCacheMs) {
+            const members = [...this.#members.values()].filter(member => nowMs - member.heardMs <= downAfterMs);
+            this.#live = { atMs: nowMs, members };
+        }
+        return this.#live.members;
     }
 
-    /** All instances that have not been removed, live or not. */
+    /** All instances that have been heard and not been removed, live or not. */
     known(): readonly Member[] {
         return [...this.#members.values()];
     }
 
     isLive(peerAddress: string): boolean {
         const member = this.#members.get(peerAddress);
-        return member !== undefined && this.#clock.monotonicMs() - member.receivedMs <= downAfterMs;
+        return member !== undefined && this.#clock.monotonicMs() - member.heardMs <= downAfterMs;
     }
 
-    /** Removes instances without a heartbeat for {@link expireAfterMs}, and leaving ones once they are down. */
+    /** Removes instances that were not heard for {@link expireAfterMs}, and leaving ones once they are down. */
     expire(): void {
         const nowMs = this.#clock.monotonicMs();
-        for (const [address, { heartbeat, receivedMs }] of this.#members) {
-            const ageMs = nowMs - receivedMs;
-            if (ageMs > expireAfterMs || heartbeat.isLeaving && ageMs > downAfterMs) {
+        for (const [address, { info, isLeaving, heardMs }] of this.#members) {
+            const ageMs = nowMs - heardMs;
+            if (ageMs > expireAfterMs || isLeaving && ageMs > downAfterMs) {
+                this.#live = undefined;
                 this.#members.delete(address);
-                this.#sequences.delete(heartbeat.id);
+                this.#identities.delete(instanceKey(info.id));
+            }
+        }
+        for (const [key, { info, learnedMs }] of this.#identities) {
+            if (nowMs - learnedMs > expireAfterMs && this.#members.get(info.peerAddress)?.info.id !== info.id) {
+                this.#identities.delete(key);
             }
         }
     }
+
+    #memberOf(key: number): MutableMember | undefined {
+        const info = this.#identities.get(key)?.info;
+        const member = info === undefined ? undefined : this.#members.get(info.peerAddress);
+        return member?.info.id === info?.id ? member : undefined;
+    }
 }
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -5,9 +5,7 @@
 import { RetryBudget } from "./balance/retry-budget.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { DirectoryResponse } from "./fleet/directory.js";
-import { Gossip } from "./fleet/gossip.js";
-import type { Heartbeat } from "./fleet/heartbeat.js";
-import { LoadReporter } from "./fleet/load-reporter.js";
+import { FleetExchange } from "./fleet/fleet-exchange.js";
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
 import { GrayFailureEstimator } from "./health/gray-failure-estimator.js";
@@ -15,8 +13,10 @@
 import { SharedOutcomes } from "./health/shared-outcomes.js";
 import { UpstreamFloor } from "./health/upstream-floor.js";
 import type { GatewayInstance } from "./model.js";
+import { instanceKey } from "./name-key.js";
 import type { GatewayMetrics } from "./observe/metrics.js";
 import { FleetRateLimiter } from "./rates/fleet-rate-limiter.js";
+import type { RemoteRates } from "./rates/fleet-rate-limiter.js";
 import { CrashTracker } from "./request/crash-tracker.js";
 import type { HeaderCodec } from "./request/ports.js";
 import { RequestHandler } from "./request/request-handler.js";
@@ -63,8 +63,7 @@
     readonly datagrams: UdpDatagrams;
     readonly peers: TcpPeers;
     readonly roster: Roster;
-    readonly gossip: Gossip;
-    readonly loadReporter: LoadReporter;
+    readonly exchange: FleetExchange;
     readonly state: FleetState;
     readonly records: InstanceRecords;
     readonly config: CurrentConfig;
@@ -99,16 +98,18 @@
     const datagrams = await UdpDatagrams.open(self.peerAddress, log);
     const peers = new TcpPeers({ self: self.id, clock, log });
     await peers.listen(host, port);
-    const announce = (): void => gossip.sendHeartbeatSoon();
+    const announce = (): void => exchange.sendHeartbeatSoon();
     const roster = new Roster(clock);
     const config = new CurrentConfig(sha256);
     const upstreams = new UpstreamRegistry(clock, upstream => resetUpstream(upstream, evidence, log));
     const evidence: Evidence = createEvidence(options, upstreams, {
+        ownKey: instanceKey(self.id),
         announce,
-        onLoad: () => loadReporter.scheduleReport(),
+        onLoad: () => exchange.sendLoadsSoon(),
+        remoteInFlight: key => exchange.view.inFlight(key),
+        remoteRates: { usage: key => exchange.view.usage(key), reportDelayMs: () => exchange.reportDelayMs() },
     });
-    const { load } = evidence;
-    const shared = createSharedEvidence(evidence);
+    const { outcomes, crashes, rates, load } = evidence;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const state: FleetState = new FleetState({
         self,
@@ -120,11 +121,15 @@
         roster,
         config,
         upstreams,
-        announce,
-        sendToAll: datagram => gossip.sendToAll(datagram),
+        announce: () => {
+            announce();
+            exchange.announceState();
+        },
+        sendToAll: message => exchange.sendToAll(message),
+        digestIntervalMs: () => exchange.digestIntervalMs(),
         onConfig,
     });
-    const gossip: Gossip = new Gossip({
+    const exchange: FleetExchange = new FleetExchange({
         self,
         clock,
         random,
@@ -132,27 +137,24 @@
         datagrams,
         roster,
         seeds: settings().seedPeers,
-        payload: () => ({
+        usageWindowMs: () => settings().rateWindowSeconds * 1_000,
+        takePayload: () => ({
             isReady: isReady(),
             isLeaving: flags.isLeaving,
             ...state.collectionStates(),
-            ...shared.report(),
+            usage: rates.report(),
+            inFlight: load.report(),
+            ...outcomes.take(),
+            crashes: crashes.report(),
         }),
-        onHeartbeat: (heartbeat, previous) => {
-            state.recordHeartbeat(heartbeat);
-            shared.recordHeartbeat(heartbeat, previous);
+        collections: () => state.collectionStates(),
+        onOutcomes: batch => {
+            outcomes.recordDistributed(batch.outcomes);
+            crashes.recordDistributed(batch.crashes);
         },
-        onLoads: ({ reports, mustForward }) => loadReporter.receive(reports, mustForward),
-        onUpstreams: datagram => state.receiveUpstreamChanges(datagram),
-    });
-    const loadReporter: LoadReporter = new LoadReporter({
-        selfId: self.id,
-        selfAddress: self.peerAddress,
-        clock,
-        datagrams,
-        load,
-        relayAddress: () => gossip.relayAddresses()[0],
-        sameZoneAddresses: () => gossip.sameZoneAddresses(),
+        onSuccesses: successes => outcomes.recordSuccesses(successes),
+        onRevision: (collection, revision, ageMs) => state.recordRevision(collection, revision, ageMs),
+        onUpstreams: message => state.receiveUpstreamChanges(message),
     });
     const records = new InstanceRecords({
         self,
@@ -162,61 +164,50 @@
         isReader: () => state.isReader,
         isIsolated: () => roster.live().length === 0,
         isLive: address => roster.isLive(address),
-        contact: address => gossip.contact(address),
+        contact: address => exchange.contact(address),
     });
-    return { datagrams, peers, roster, gossip, loadReporter, state, records, config, upstreams, ...evidence, isReady };
+    return { datagrams, peers, roster, exchange, state, records, config, upstreams, ...evidence, isReady };
 };
 
-/** State about upstreams, loads and rates, derived from the requests of this instance and from heartbeats. */
+/** State about upstreams, loads and rates, derived from the requests of all instances. */
 type Evidence = Pick<FleetComponents, "gray" | "load" | "rates" | "floor" | "outcomes" | "crashes">;
 
 const createEvidence = (
     { clock, random, settings }: GatewayOptions,
     upstreams: UpstreamRegistry,
-    { announce, onLoad }: { readonly announce: () => void; readonly onLoad: () => void; },
+    { ownKey, announce, onLoad, remoteInFlight, remoteRates }: EvidenceSetup,
 ): Evidence => {
     const gray = new GrayFailureEstimator(clock);
     const serviceOf = (upstream: UpstreamId) => upstreams.get(upstream)?.listed.service;
+    const upstreamsOf = (key: number) => upstreams.idsOf(key);
     const floor = new UpstreamFloor({ clock, random, floorShare: () => settings().floorShare, serviceOf });
     return {
         gray,
         floor,
-        load: new FleetLoad(onLoad),
-        rates: new FleetRateLimiter(clock, () => rateOptions(settings())),
-        outcomes: new SharedOutcomes({ clock, gray, floor, announce }),
-        crashes: new CrashTracker({ clock, announce }),
+        load: new FleetLoad(onLoad, remoteInFlight),
+        rates: new FleetRateLimiter(clock, () => rateOptions(settings()), remoteRates),
+        outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce }),
+        crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
     };
 };
 
+/** How the evidence is connected to that of the other instances. */
+interface EvidenceSetup {
+    readonly ownKey: number;
+    /** Sends a heartbeat immediately. */
+    readonly announce: () => void;
+    /** Called when the requests in flight change. */
+    readonly onLoad: () => void;
+    readonly remoteInFlight: (key: number) => number;
+    readonly remoteRates: RemoteRates;
+}
+
 /** Resets what was measured of the previous process of an upstream. */
 const resetUpstream = (upstream: UpstreamId, { gray }: Pick<Evidence, "gray">, log: LogPort): void => {
     log.event("upstream-restarted", { upstream });
     gray.reset(upstream);
 };
 
-/** Exchanges evidence for decisions on requests through heartbeats. */
-const createSharedEvidence = (
-    { rates, outcomes, crashes, load }: Pick<Evidence, "rates" | "outcomes" | "crashes" | "load">,
-) => ({
-    report: (): Pick<Heartbeat, "usage" | "outcomes" | "crashes" | "loadSequence" | "inFlight"> => ({
-        usage: rates.report(),
-        outcomes: outcomes.report(),
-        crashes: crashes.report(),
-        ...loadOf(load),
-    }),
-    recordHeartbeat: (heartbeat: Heartbeat, previous: Heartbeat | undefined): void => {
-        rates.recordReport(heartbeat.id, heartbeat.usage);
-        outcomes.recordHeartbeat(heartbeat, previous);
-        crashes.recordHeartbeat(heartbeat);
-        load.recordReport({ id: heartbeat.id, sequence: heartbeat.loadSequence, inFlight: heartbeat.inFlight });
-    },
-});
-
-const loadOf = (load: FleetLoad): Pick<Heartbeat, "loadSequence" | "inFlight"> => {
-    const { sequence, inFlight } = load.report();
-    return { loadSequence: sequence, inFlight };
-};
-
 /** Components that handle requests from callers. */
 export interface RequestComponents {
     readonly connections: UpstreamConnectionPool;
@@ -271,9 +262,9 @@
     return { connections, handler, metrics };
 };
 
-/** Removes the state of upstreams that are no longer listed and of instances that are no longer live or known. */
+/** Removes the state of upstreams that are no longer listed. */
 export const pruneState = (
-    { upstreams, gray, floor, load, rates, roster }: FleetComponents,
+    { upstreams, gray, floor }: FleetComponents,
     connections: UpstreamConnectionPool,
 ): void => {
     const isListed = (upstream: Parameters<UpstreamRegistry["get"]>[0]): boolean =>
@@ -281,10 +272,6 @@
     gray.retain(isListed);
     floor.retain(isListed);
     connections.retain(isListed);
-    const live = new Set(roster.live().map(({ heartbeat }) => heartbeat.id));
-    load.retain(instance => live.has(instance));
-    const known = new Set(roster.known().map(({ heartbeat }) => heartbeat.id));
-    rates.retain(instance => known.has(instance));
 };
 
 const rateOptions = ({ rateWindowSeconds, rateOverage, rateSlack }: GatewaySettings) => ({
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -72,7 +72,7 @@
         isLeaving: () => flags.isLeaving,
     });
     const auxiliaryServers = await openAuxiliaryServers(options, self, fleet, metrics);
-    fleet.gossip.start();
+    fleet.exchange.start();
     const stopTimers = startTimers(options, fleet, connections);
     log.event("start", {
         zone: self.zone,
@@ -89,6 +89,20 @@
     };
 };
 
+/** Processor and link of a machine of the smallest size class. */
+const smallestMachine = { processorCores: 0.25, linkMbps: 7 };
+/** Highest size class; larger machines gain nothing as aggregators. */
+const maxCapacity = 3;
+
+/** Size class of the machine: the number of times that its processor and its link are twice the smallest ones. */
+const capacityOf = ({ processorShare, processorSpeed, linkMbps }: GatewaySettings): number => {
+    const ratio = Math.min(
+        processorShare * processorSpeed / smallestMachine.processorCores,
+        linkMbps / smallestMachine.linkMbps,
+    );
+    return Math.min(maxCapacity, Math.floor(Math.log2(Math.max(1, ratio))));
+};
+
 const newInstance = (settings: GatewaySettings, random: Random): GatewayInstance => {
     const incarnation = Math.floor(random() * 36 ** incarnationDigits).toString(36);
     return {
@@ -96,6 +110,7 @@
         zone: settings.zone,
         callerAddress: settings.callerAddress,
         peerAddress: settings.peerAddress,
+        capacity: capacityOf(settings),
     };
 };
 
@@ -165,15 +180,14 @@
     log.event("leave-begin", { inFlight: front.activeRequestCount, graceMs });
     stopTimers();
     fleet.state.stop();
-    fleet.gossip.sendHeartbeatSoon();
+    fleet.exchange.sendHeartbeatSoon();
     const recordRemoval = fleet.records.leave().catch((error: unknown) => {
         log.event("record-not-removed", { reason: errorMessage(error) });
     });
     await wait(graceMs * lingerShare);
     await Promise.race([front.close(), wait(graceMs * exitShare)]);
     await Promise.race([recordRemoval, wait(graceMs * exitShare)]);
-    fleet.gossip.stop();
-    fleet.loadReporter.stop();
+    fleet.exchange.stop();
     auxiliaryServers.forEach(server => server.close());
     fleet.datagrams.close();
     fleet.peers.close();
--- a/packages/gateway/src/lib/model.ts
+++ b/packages/gateway/src/lib/model.ts
@@ -89,6 +89,8 @@
     readonly callerAddress: string;
     /** `host:port` for other instances, over TCP and UDP. */
     readonly peerAddress: string;
+    /** Size class of its machine by processor and link; aggregators are chosen from the largest class of a zone. */
+    readonly capacity: number;
 }
 
 /** A decoded request from a caller. */
--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
@@ -1,7 +1,9 @@
 /** Limits the request rate of each organisation across the fleet, without a round trip per request. */
-import type { Clock, InstanceId, OrganisationId } from "@sniperoad/core";
+import type { Clock, OrganisationId } from "@sniperoad/core";
+import type { RemoteUsage } from "../fleet/fleet-view.js";
 import type { OrganisationUsage } from "../fleet/heartbeat.js";
 import type { GatewayOrganisation } from "../model.js";
+import { nameKey } from "../name-key.js";
 import { SlidingWindowCounter } from "./sliding-window-counter.js";
 
 /** Options of {@link FleetRateLimiter}. */
@@ -14,32 +16,30 @@
     readonly slack: number;
 }
 
+/** What the limiter knows of the other instances. */
+export interface RemoteRates {
+    /** Usage of the organisation with a key, see `nameKey`. */
+    readonly usage: (key: number) => RemoteUsage;
+    /** Time from an admission at another instance until it is contained in the usage. */
+    readonly reportDelayMs: () => number;
+}
+
 /**
  * Share of the allowed excess up to which requests are admitted; the rest covers what other instances admit before
  * their reports arrive.
  */
 const usableExcessShare = 0.6;
 /**
- * Time from an admission until all instances count it: a heartbeat interval of 300 ms, two relays that batch for 100 ms
- * each, and 50 ms for busy instances.
+ * How much longer than the window of the rate an admission counts, since the request reaches its upstream later than
+ * that and may be sent again.
  */
-const reportDelayMs = 550;
+const extraWindowMs = 550;
 /** Window over which the current request rate is estimated. */
 const demandWindowMs = 600;
-/** How long usage is reported after a change, so that lost heartbeats lose no information. */
-const reportRetentionMs = 2_000;
-
+/** Requests of this instance. */
 interface Account {
-    /** Requests that all instances admitted. */
     readonly admitted: SlidingWindowCounter;
-    /** Requests that all instances received. */
     readonly offered: SlidingWindowCounter;
-    /** Requests that this instance admitted. */
-    ownAdmitted: SlidingWindowCounter;
-    /** Totals of this instance since its process started. */
-    totalAdmitted: number;
-    totalOffered: number;
-    changedMs: number;
 }
 
 /** Whether a request is admitted, with the numbers behind the decision. */
@@ -60,8 +60,7 @@
 }
 
 /**
- * Counts the requests of each organisation that all instances admit, from their heartbeats, and admits a request if
- * the count leaves room for it and for what is not reported yet. If fewer than half of the known instances are live,
+ * Counts the requests of each organisation that all instances admit, and admits a request if the count leaves room for it and for what is not reported yet. If fewer than half of the known instances are live,
  * this instance is probably partitioned and limits itself to an equal share of the rate; the shares of other instances
  * that are not live are reserved for them.
  *
@@ -71,21 +70,18 @@
 export class FleetRateLimiter {
     readonly #clock: Clock;
     readonly #options: () => FleetRateLimiterOptions;
+    readonly #remote: RemoteRates;
     readonly #accounts = new Map<OrganisationId, Account>();
-    /** Last reported totals by instance and organisation. */
-    readonly #lastReports = new Map<InstanceId, Map<OrganisationId, OrganisationUsage>>();
 
-    constructor(clock: Clock, options: () => FleetRateLimiterOptions) {
+    constructor(clock: Clock, options: () => FleetRateLimiterOptions, remote: RemoteRates) {
         this.#clock = clock;
         this.#options = options;
+        this.#remote = remote;
     }
 
     /** Counts a request from a caller. */
     recordOffered(organisation: OrganisationId): void {
-        const account = this.#account(organisation);
-        account.offered.add(1);
-        account.totalOffered++;
-        account.changedMs = this.#clock.monotonicMs();
+        this.#account(organisation).offered.add(1);
     }
 
     /** Decides whether to admit a request, and counts it if so. */
@@ -96,43 +92,19 @@
             : { isAdmitted: true, counted: 0, limit: 0 };
         if (decision.isAdmitted) {
             account.admitted.add(1);
-            account.ownAdmitted.add(1);
-            account.totalAdmitted++;
-            account.changedMs = this.#clock.monotonicMs();
         }
         return decision;
     }
 
-    /** Usage to report to other instances: that of organisations whose counts changed recently. */
+    /** Usage to report to other instances: that of organisations with requests in the windows. */
     report(): OrganisationUsage[] {
-        const sinceMs = this.#clock.monotonicMs() - reportRetentionMs;
         return [...this.#accounts]
-            .filter(([, account]) => account.changedMs > sinceMs && account.totalOffered > 0)
-            .map(([organisation, account]) => ({
+            .map(([organisation, { admitted, offered }]) => ({
                 organisation,
-                admitted: account.totalAdmitted,
-                offered: account.totalOffered,
-            }));
-    }
-
-    /** Adds the usage that another instance reports. */
-    recordReport(from: InstanceId, usage: readonly OrganisationUsage[]): void {
-        const previous = this.#lastReports.get(from) ?? new Map<OrganisationId, OrganisationUsage>();
-        this.#lastReports.set(from, previous);
-        for (const entry of usage) {
-            const last = previous.get(entry.organisation);
-            const account = this.#account(entry.organisation);
-            account.admitted.add(Math.max(0, entry.admitted - (last?.admitted ?? 0)));
-            account.offered.add(Math.max(0, entry.offered - (last?.offered ?? 0)));
-            previous.set(entry.organisation, entry);
-        }
-    }
-
-    /** Removes the totals of instances that are no longer known. */
-    retain(isKnown: (instance: InstanceId) => boolean): void {
-        [...this.#lastReports.keys()].filter(instance => !isKnown(instance)).forEach(instance =>
-            this.#lastReports.delete(instance)
-        );
+                admitted: admitted.total(),
+                offered: offered.total(),
+            }))
+            .filter(({ admitted, offered }) => admitted > 0 || offered > 0);
     }
 
     #decide(organisation: GatewayOrganisation, account: Account, size: FleetSize): RateDecision {
@@ -141,13 +113,14 @@
         const limit = windowLimit + usableExcessShare * (windowLimit * overage + slack);
         const instanceLimit = limit / Math.max(1, size.known);
         if (size.live * 2 < size.known) {
-            const counted = account.ownAdmitted.total() + 1;
+            const counted = account.admitted.total() + 1;
             return { isAdmitted: counted <= instanceLimit, counted, limit: instanceLimit };
         }
         const assumedUnreachable = (size.known - size.live) * instanceLimit;
+        const remote = this.#remote.usage(nameKey(organisation.id));
         // Instances admit in proportion to their demand, so the demand bounds what is not reported yet.
-        const unreported = account.offered.total() * reportDelayMs / demandWindowMs;
-        const counted = account.admitted.total() + unreported + assumedUnreachable + 1;
+        const unreported = remote.offered * this.#remote.reportDelayMs() / demandWindowMs;
+        const counted = account.admitted.total() + remote.admitted + unreported + assumedUnreachable + 1;
         return { isAdmitted: counted <= limit, counted, limit };
     }
 
@@ -158,13 +131,8 @@
         }
         const { windowMs } = this.#options();
         const created: Account = {
-            // Other instances count an admission late; the longer window compensates for that.
-            admitted: new SlidingWindowCounter(this.#clock, windowMs + reportDelayMs),
-            ownAdmitted: new SlidingWindowCounter(this.#clock, windowMs + reportDelayMs),
+            admitted: new SlidingWindowCounter(this.#clock, windowMs + extraWindowMs),
             offered: new SlidingWindowCounter(this.#clock, demandWindowMs),
-            totalAdmitted: 0,
-            totalOffered: 0,
-            changedMs: 0,
         };
         this.#accounts.set(organisation, created);
         return created;
--- a/packages/gateway/src/lib/request/crash-tracker.ts
+++ b/packages/gateway/src/lib/request/crash-tracker.ts
@@ -1,6 +1,7 @@
 /** Detects requests that crash the upstreams they are sent to. */
-import type { Clock, InstanceId, UpstreamId } from "@sniperoad/core";
-import type { Heartbeat, ReportedCrash } from "../fleet/heartbeat.js";
+import type { Clock, UpstreamId } from "@sniperoad/core";
+import type { DistributedCrash } from "../fleet/digest.js";
+import type { ReportedCrash } from "../fleet/heartbeat.js";
 
 /** Number of distinct upstreams that must crash while a request is in flight before the request is refused. */
 const minCrashedUpstreams = 3;
@@ -18,6 +19,10 @@
 /** Options of {@link CrashTracker}. */
 export interface CrashTrackerOptions {
     readonly clock: Clock;
+    /** Key of this instance, see `instanceKey`; its own crashes come back to it. */
+    readonly ownKey: number;
+    /** Upstreams with a key, see `nameKey`. */
+    readonly upstreamsOf: (key: number) => readonly UpstreamId[];
     /** Sends a heartbeat immediately. */
     readonly announce: () => void;
 }
@@ -36,7 +41,7 @@
     readonly suspectMs = suspectMs;
     readonly #options: CrashTrackerOptions;
     readonly #suspicions = new Map<string, Suspicion>();
-    readonly #lastSequences = new Map<InstanceId, number>();
+    readonly #lastSequences = new Map<number, number>();
     #localCrashes: (ReportedCrash & { readonly atMs: number; })[] = [];
     #sequence = 0;
 
@@ -80,32 +85,31 @@
         return this.#localCrashes.map(({ sequence, fingerprint, upstream }) => ({ sequence, fingerprint, upstream }));
     }
 
-    /** Records the crashes in another instance's heartbeat; repetitions are ignored. */
-    recordHeartbeat(heartbeat: Heartbeat): void {
-        const lastSequence = this.#lastSequences.get(heartbeat.id) ?? 0;
-        for (const crash of heartbeat.crashes) {
-            if (crash.sequence > lastSequence) {
-                this.#addCrash(crash.fingerprint, crash.upstream);
-                this.#lastSequences.set(heartbeat.id, crash.sequence);
+    /** Records crashes that aggregators distribute; repetitions and those of this instance are ignored. */
+    recordDistributed(crashes: readonly DistributedCrash[]): void {
+        const { ownKey, upstreamsOf } = this.#options;
+        for (const { origin, sequence, fingerprint, upstreamKey } of crashes) {
+            if (origin !== ownKey && sequence > (this.#lastSequences.get(origin) ?? 0)) {
+                this.#lastSequences.set(origin, sequence);
+                upstreamsOf(upstreamKey).forEach(upstream => this.#addCrash(fingerprint, upstream));
             }
         }
     }
 
     #addCrash(fingerprint: string, upstream: UpstreamId): void {
         const nowMs = this.#options.clock.monotonicMs();
+        this.#deleteExpired(nowMs);
         const suspicion = this.#suspicions.get(fingerprint) ?? { upstreams: new Set(), lastCrashMs: nowMs };
         suspicion.upstreams.add(upstream);
         suspicion.lastCrashMs = nowMs;
         this.#suspicions.set(fingerprint, suspicion);
-        this.#deleteExpired(nowMs);
     }
 
     #deleteExpired(nowMs: number): void {
         for (const [fingerprint, { lastCrashMs }] of this.#suspicions) {
-            if (nowMs - lastCrashMs <= suspectMs) {
-                return;
+            if (nowMs - lastCrashMs > suspectMs) {
+                this.#suspicions.delete(fingerprint);
             }
-            this.#suspicions.delete(fingerprint);
         }
     }
 }
--- a/packages/gateway/src/lib/settings-file.ts
+++ b/packages/gateway/src/lib/settings-file.ts
@@ -20,6 +20,9 @@
     "peerAddress",
     "seedPeers",
     "storeAddress",
+    "linkMbps",
+    "processorShare",
+    "processorSpeed",
 ];
 
 /** Options of {@link SettingsFile}. */
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -42,6 +42,12 @@
     rateOverage: z.number().min(0),
     /** Number of requests by which the count may exceed this limit in addition. */
     rateSlack: z.number().min(0),
+    /** Bandwidth of the machine's link. */
+    linkMbps: positive.default(1_000),
+    /** Share of a processor core that the machine provides. */
+    processorShare: positive.default(1),
+    /** Speed of that core relative to a usual one. */
+    processorSpeed: positive.default(1),
     /** Share of a service's upstreams that must receive requests even while some of its requests fail. */
     floorShare: z.number().min(0).max(1),
 });
--- a/packages/gateway/src/lib/store/fleet-state.ts
+++ b/packages/gateway/src/lib/store/fleet-state.ts
@@ -1,14 +1,17 @@
 /** Keeps the configuration and the upstream list current, from the store or from other instances. */
 import { id } from "@sniperoad/core";
 import type { Clock, LogPort, PeerPort, Random, UpstreamId } from "@sniperoad/core";
-import type { Datagram, UpstreamChange } from "../fleet/datagrams.js";
-import type { CollectionState, Heartbeat } from "../fleet/heartbeat.js";
+import { maxUpstreamChanges } from "../fleet/datagrams.js";
+import type { UpstreamChange, UpstreamsMessage } from "../fleet/datagrams.js";
+import type { CollectionState } from "../fleet/heartbeat.js";
 import type { Roster } from "../fleet/roster.js";
 import type { GatewayConfig, GatewayInstance, ListedUpstream } from "../model.js";
+import { instanceKey } from "../name-key.js";
 import type { CurrentConfig } from "../routing/current-config.js";
 import { CollectionReader } from "./collection-reader.js";
 import type { StoreChanges, StorePort, StoreSnapshot } from "./ports.js";
 import { shouldRead } from "./reader-election.js";
+import type { ReaderCandidate } from "./reader-election.js";
 import { StateExchange } from "./state-exchange.js";
 import type { SharedCollection, SharedState, StateHolder } from "./state-exchange.js";
 import type { UpstreamRegistry } from "./upstream-registry.js";
@@ -26,11 +29,11 @@
 export const startupListenWithoutHolderMs = 250;
 
 /**
- * Time without a heartbeat after which an instance no longer counts as a reader: two intervals and the batching delays
- * of two relays. It is shorter than the time after which an instance is considered down, since a change must be in
- * force within its bound even if readers fail.
+ * Time without a heartbeat after which an instance no longer counts as a reader, in addition to the interval between
+ * digests: an interval of heartbeats and some delay. It is shorter than the time after which an instance is considered down, since a
+ * change must be in force within its bound even if readers fail.
  */
-const readerTimeoutMs = 800;
+const readerTimeoutMs = 500;
 
 /** Age of the last confirmation above which an outage is assumed; entries of live upstreams may have expired in it. */
 const outageThresholdMs = 2_500;
@@ -48,7 +51,9 @@
     readonly upstreams: UpstreamRegistry;
     /** Notifies the other instances immediately of the new state of this one. */
     readonly announce: () => void;
-    readonly sendToAll: (datagram: Datagram) => void;
+    readonly sendToAll: (message: UpstreamsMessage) => void;
+    /** Interval between the digests in which this instance hears of the others. */
+    readonly digestIntervalMs: () => number;
     readonly onConfig: (config: GatewayConfig) => void;
 }
 
@@ -66,6 +71,7 @@
     readonly #configReader: CollectionReader<"config">;
     readonly #upstreamReader: CollectionReader<"upstreams">;
     readonly #startedMs: number;
+    readonly #ownKey: number;
     /** Monotonic time at which the store last confirmed the state of this instance to any reader. */
     #confirmedMs: Record<SharedCollection, number | undefined> = { config: undefined, upstreams: undefined };
     #isStopped = false;
@@ -73,6 +79,7 @@
     constructor(options: FleetStateOptions) {
         this.#options = options;
         this.#startedMs = options.clock.monotonicMs();
+        this.#ownKey = instanceKey(options.self.id);
         this.#exchange = new StateExchange({
             peers: options.peers,
             clock: options.clock,
@@ -134,30 +141,27 @@
     }
 
     /** State of the collections of this instance, for its heartbeats. */
-    collectionStates(): Pick<Heartbeat, "config" | "upstreams"> {
+    collectionStates(): Readonly<Record<SharedCollection, CollectionState>> {
         return {
             config: this.#collectionState("config", this.#configReader),
             upstreams: this.#collectionState("upstreams", this.#upstreamReader),
         };
     }
 
-    /** Processes the collection states of another instance. */
-    recordHeartbeat(heartbeat: Heartbeat): void {
-        for (const collection of ["config", "upstreams"] as const) {
-            const { revision, confirmedAgeMs } = heartbeat[collection];
-            const heldRevision = this.#heldRevision(collection);
-            if (revision > heldRevision) {
-                this.#exchange.catchUp(collection);
-            }
-            else if (revision === heldRevision && confirmedAgeMs !== undefined) {
-                this.#confirm(collection, confirmedAgeMs);
-            }
+    /** Processes the state of a collection at another instance. */
+    recordRevision(collection: SharedCollection, revision: number, confirmedAgeMs: number | undefined): void {
+        const heldRevision = this.#heldRevision(collection);
+        if (revision > heldRevision) {
+            this.#exchange.catchUp(collection);
+        }
+        else if (revision === heldRevision && confirmedAgeMs !== undefined) {
+            this.#confirm(collection, confirmedAgeMs);
         }
     }
 
     /** Applies upstream changes that a reader forwards. */
-    receiveUpstreamChanges(datagram: Extract<Datagram, { kind: "upstreams"; }>): void {
-        if (!this.#applyUpstreams(datagram)) {
+    receiveUpstreamChanges(message: UpstreamsMessage): void {
+        if (!this.#applyUpstreams(message)) {
             this.#exchange.catchUp("upstreams");
         }
     }
@@ -174,21 +178,12 @@
         if (elapsedMs >= startupListenMs) {
             return false;
         }
-        const isHeldByPeer = this.#options.roster.live().some(({ heartbeat }) => heartbeat.upstreams.revision > 0);
+        const isHeldByPeer = this.#options.roster.live().some(({ revisions }) => revisions.upstreams > 0);
         return elapsedMs < (isHeldByPeer || this.isComplete ? startupListenMs : startupListenWithoutHolderMs);
     }
 
     #reviewReader(collection: SharedCollection, reader: { start(): void; stop(): void; }): void {
-        const { self, roster } = this.#options;
-        const others = roster.live()
-            .filter(({ heartbeat, receivedMs }) =>
-                !heartbeat.isLeaving && this.#elapsedSince(receivedMs) <= readerTimeoutMs
-            )
-            .map(({ heartbeat, receivedMs }) => ({
-                id: heartbeat.id,
-                collectionState: addToReadAge(heartbeat[collection], this.#elapsedSince(receivedMs)),
-            }));
-        if (shouldRead(self.id, collection, others)) {
+        if (shouldRead(this.#ownKey, collection, this.#readerCandidates(collection))) {
             reader.start();
         }
         else {
@@ -196,6 +191,18 @@
         }
     }
 
+    *#readerCandidates(collection: SharedCollection): Iterable<ReaderCandidate> {
+        const { roster, digestIntervalMs, clock } = this.#options;
+        const nowMs = clock.monotonicMs();
+        const timeoutMs = readerTimeoutMs + digestIntervalMs();
+        for (const { key, isLeaving, heardMs, lastReadMs } of roster.live()) {
+            if (!isLeaving && nowMs - heardMs <= timeoutMs) {
+                const atMs = lastReadMs[collection];
+                yield { key, readAgeMs: atMs === undefined ? undefined : nowMs - atMs };
+            }
+        }
+    }
+
     #collectionState(
         collection: SharedCollection,
         reader: { readonly isRunning: boolean; readAgeMs(): number; },
@@ -248,20 +255,23 @@
     #applyChanges({ changes, changedRevision }: StoreChanges<ListedUpstream>): void {
         const { upstreams, sendToAll, announce } = this.#options;
         if (changes.length > 0 && changedRevision > upstreams.revision) {
-            const datagram = {
+            const message: UpstreamsMessage = {
                 kind: "upstreams",
                 fromRevision: upstreams.revision,
                 toRevision: changedRevision,
                 changes,
-            } as const;
-            this.#applyUpstreams(datagram);
-            sendToAll(datagram);
+            };
+            this.#applyUpstreams(message);
+            // Without the message, the others fetch the list when they hear of its revision.
+            if (changes.length <= maxUpstreamChanges) {
+                sendToAll(message);
+            }
             announce();
         }
         this.#confirm("upstreams", 0);
     }
 
-    #applyUpstreams({ fromRevision, toRevision, changes }: Extract<Datagram, { kind: "upstreams"; }>): boolean {
+    #applyUpstreams({ fromRevision, toRevision, changes }: UpstreamsMessage): boolean {
         const { upstreams, log } = this.#options;
         const isNewer = toRevision > upstreams.revision;
         const isApplied = upstreams.apply({ fromRevision, toRevision, changes: changes.map(decodeChange) });
@@ -293,11 +303,11 @@
 
     #holders(collection: SharedCollection): readonly StateHolder[] {
         const { roster, self } = this.#options;
-        return roster.live().map(({ heartbeat }) => ({
-            id: heartbeat.id,
-            peerAddress: heartbeat.peerAddress,
-            revision: heartbeat[collection].revision,
-            isSameZone: heartbeat.zone === self.zone,
+        return roster.live().map(({ info, revisions }) => ({
+            id: info.id,
+            peerAddress: info.peerAddress,
+            revision: revisions[collection],
+            isSameZone: info.zone === self.zone,
         }));
     }
 
@@ -306,12 +316,6 @@
     }
 }
 
-/** Adds the time since the receipt of a heartbeat to the age of the last read that it states. */
-const addToReadAge = (state: CollectionState, elapsedMs: number): CollectionState => ({
-    ...state,
-    readAgeMs: state.readAgeMs + elapsedMs,
-});
-
 const decodeChange = (change: UpstreamChange) => ({
     name: change.name,
     value: change.value as ListedUpstream | undefined,
--- a/packages/gateway/src/lib/store/reader-election.ts
+++ b/packages/gateway/src/lib/store/reader-election.ts
@@ -1,7 +1,4 @@
 /** Elects the instances that read a collection from the store on behalf of the fleet. */
-import { hash32 } from "@sniperoad/core";
-import type { InstanceId } from "@sniperoad/core";
-import type { CollectionState } from "../fleet/heartbeat.js";
 import type { SharedCollection } from "./state-exchange.js";
 
 /**
@@ -20,32 +17,39 @@
 
 /** A live instance, which may become a reader. */
 export interface ReaderCandidate {
-    readonly id: InstanceId;
-    readonly collectionState: Pick<CollectionState, "isReading" | "readAgeMs">;
+    /** See `instanceKey`. */
+    readonly key: number;
+    /** Time since its last read; undefined: it does not read. */
+    readonly readAgeMs: number | undefined;
 }
 
 /**
- * Whether an instance should read. Candidates are ranked by a hash of their ids, and failing ones are skipped up to
+ * Whether an instance should read. Candidates are ranked by their keys, and failing ones are skipped up to
  * {@link maxFailingReaders}. Instances with the same candidates reach the same result without communication.
  *
  * @example
- * shouldRead(self, "upstreams", members);
+ * shouldRead(instanceKey(self.id), "upstreams", candidates);
  */
 export const shouldRead = (
-    self: InstanceId,
+    selfKey: number,
     collection: SharedCollection,
-    others: readonly ReaderCandidate[],
+    others: Iterable<ReaderCandidate>,
 ): boolean => {
-    const ownRank = rankOf(self, collection);
-    const higherRanked = others.filter(({ id }) => {
-        const rank = rankOf(id, collection);
-        return rank < ownRank || rank === ownRank && id < self;
-    });
-    const failing =
-        higherRanked.filter(({ collectionState }) =>
-            collectionState.isReading && (collectionState.readAgeMs ?? 0) > failingReadAgeMs
-        ).length;
-    return higherRanked.length - failing < readerCounts[collection] && failing < maxFailingReaders;
+    const ownRank = rankOf(selfKey, collection);
+    let [working, failing] = [0, 0];
+    for (const { key, readAgeMs } of others) {
+        if (rankOf(key, collection) < ownRank) {
+            const isFailing = readAgeMs !== undefined && readAgeMs > failingReadAgeMs;
+            working += isFailing ? 0 : 1;
+            failing += isFailing ? 1 : 0;
+            // Most instances of a large fleet decide after a few candidates.
+            if (working >= readerCounts[collection] || failing >= maxFailingReaders) {
+                return false;
+            }
+        }
+    }
+    return true;
 };
 
-const rankOf = (id: InstanceId, collection: string): number => hash32(`${collection}|${id}`);
+/** Opposite ranks, so that an instance of a large fleet does not read both collections. */
+const rankOf = (key: number, collection: SharedCollection): number => collection === "config" ? key : ~key >>> 0;
--- a/packages/gateway/src/lib/store/upstream-registry.ts
+++ b/packages/gateway/src/lib/store/upstream-registry.ts
@@ -3,6 +3,7 @@
 import { isDeepStrictEqual } from "node:util";
 import { groupBy } from "../group-by.js";
 import type { ListedUpstream } from "../model.js";
+import { nameKey } from "../name-key.js";
 import type { StoreChange, StoreSnapshot } from "./ports.js";
 
 /** Changes of the list from one revision to another, as instances forward them. */
@@ -52,6 +53,7 @@
     /** End of the grace period of each entry that expired in an outage, by name. */
     readonly #graceEndMs = new Map<string, number>();
     #byService = new Map<ServiceId, KnownUpstream[]>();
+    #idsByKey = new Map<number, UpstreamId[]>();
     #revision = 0;
 
     /** `onRestart` is called for an upstream whose process has been replaced. */
@@ -73,6 +75,11 @@
         return this.#byId.get(upstream);
     }
 
+    /** Upstreams with a key, see `nameKey`; nearly always one. */
+    idsOf(key: number): readonly UpstreamId[] {
+        return this.#idsByKey.get(key) ?? [];
+    }
+
     /** Upstreams of a service that accept new requests. */
     forService(service: ServiceId): readonly KnownUpstream[] {
         this.#removeExpired();
@@ -171,5 +178,6 @@
     #rebuildIndex(): void {
         const usable = [...this.#byId.values()].filter(known => known.listed.state === "live");
         this.#byService = groupBy(usable, known => known.listed.service);
+        this.#idsByKey = groupBy([...this.#byId.values()].map(({ listed }) => listed.id), nameKey);
     }
 }
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -1,7 +1,7 @@
 /** Test fixtures. */
 import { id } from "@sniperoad/core";
 import type { OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "@sniperoad/core";
-import type { HeartbeatPayload } from "../fleet/gossip.js";
+import type { HeartbeatPayload } from "../fleet/fleet-exchange.js";
 import type { CollectionState } from "../fleet/heartbeat.js";
 import type { GatewayConfig, GatewayOrganisation, GatewayRoute, KeyHash, ListedUpstream } from "../model.js";
 import type { KnownUpstream } from "../store/upstream-registry.js";
@@ -71,8 +71,8 @@
     config: idleCollectionState,
     upstreams: idleCollectionState,
     usage: [],
+    inFlight: [],
+    successes: [],
     outcomes: [],
     crashes: [],
-    loadSequence: 0,
-    inFlight: [],
 };
--- a/packages/gateway/src/lib/testing/memory-datagrams.ts
+++ b/packages/gateway/src/lib/testing/memory-datagrams.ts
@@ -19,6 +19,8 @@
     lossRate = 0;
     /** Total number of datagrams sent. */
     sentCount = 0;
+    /** Called for each datagram. */
+    onSend: (from: string, to: string, sizeBytes: number) => void = () => {};
     /** Whether a datagram from one address can reach another. */
     mayPass: (from: string, to: string) => boolean = () => true;
 
@@ -47,6 +49,7 @@
 
     #deliver(from: string, to: string, bytes: Buffer): void {
         this.sentCount++;
+        this.onSend(from, to, bytes.length);
         if (!this.mayPass(from, to) || this.#random() < this.lossRate) {
             return;
         }
--- a/packages/gateway/src/lib/testing/test-fleet.ts
+++ b/packages/gateway/src/lib/testing/test-fleet.ts
@@ -1,8 +1,10 @@
-/** A fleet for tests: gossip and state of each instance, over one network and store on a virtual clock. */
+/** A fleet for tests: exchange and state of each instance, over one network and store on a virtual clock. */
 import { id } from "@sniperoad/core";
 import type { InstanceId, ZoneId } from "@sniperoad/core";
 import { FakeNetwork, seededRandom, VirtualClock } from "@sniperoad/core/testing";
-import { Gossip } from "../fleet/gossip.js";
+import type { DigestCount, DistributedOutcome } from "../fleet/digest.js";
+import { FleetExchange } from "../fleet/fleet-exchange.js";
+import type { HeartbeatPayload } from "../fleet/fleet-exchange.js";
 import { Roster } from "../fleet/roster.js";
 import type { GatewayInstance } from "../model.js";
 import { CurrentConfig } from "../routing/current-config.js";
@@ -17,12 +19,16 @@
 export interface TestInstance {
     readonly self: GatewayInstance;
     readonly roster: Roster;
-    readonly gossip: Gossip;
+    readonly exchange: FleetExchange;
     readonly state: FleetState;
     readonly config: CurrentConfig;
     readonly upstreams: UpstreamRegistry;
     /** Whether the instance can reach the store; tests change it. */
     readonly reach: { store: boolean; };
+    /** Additions to the payload of the next heartbeat; tests change it. */
+    readonly payload: { next: () => Partial<HeartbeatPayload>; };
+    /** What was received from the others. */
+    readonly received: { readonly outcomes: DistributedOutcome[]; readonly successes: DigestCount[]; };
     /** Announces to the others that it leaves. */
     leave(): void;
     /** Stops the instance without announcing it. */
@@ -30,6 +36,7 @@
 }
 
 const reviewIntervalMs = 100;
+const usageWindowMs = 5_000;
 
 /**
  * A fleet whose instances start when they are added.
@@ -46,8 +53,18 @@
     readonly store = new MemoryStore(this.clock);
     readonly network = new FakeNetwork({ clock: this.clock, random: this.random, delayMs: () => 1 });
     readonly instances: TestInstance[] = [];
+    readonly #zoneCount: number;
     #startedCount = 0;
 
+    constructor({ zoneCount = 3 }: { readonly zoneCount?: number; } = {}) {
+        this.#zoneCount = zoneCount;
+    }
+
+    /** Zone of the instance at a peer address. */
+    zoneAt(peerAddress: string): string {
+        return `zone-${Number(peerAddress.split(/[.:]/)[3]) % this.#zoneCount}`;
+    }
+
     add(count: number, seeds: readonly string[] = ["10.0.0.0:7000", "10.0.0.1:7000"]): void {
         for (let added = 0; added < count; added++) {
             this.instances.push(this.#start(this.#startedCount++, seeds));
@@ -63,16 +80,38 @@
         });
     }
 
-    #start(number: number, seeds: readonly string[]): TestInstance {
-        const { clock, random, datagrams, store } = this;
-        const self: GatewayInstance = {
+    #identity(number: number): GatewayInstance {
+        return {
             id: id<InstanceId>(`entry-${number}~0`),
-            zone: id<ZoneId>(`zone-${number % 3}`),
+            zone: id<ZoneId>(`zone-${number % this.#zoneCount}`),
             callerAddress: `10.0.0.${number}:8000`,
             peerAddress: `10.0.0.${number}:7000`,
+            capacity: 0,
+        };
+    }
+
+    /** Reviews periodically until the returned function is called. */
+    #review(parts: readonly { review(): void; }[]): () => void {
+        const run = { isEnded: false };
+        const review = (): void => {
+            if (!run.isEnded) {
+                parts.forEach(part => part.review());
+                this.clock.after(reviewIntervalMs, review);
+            }
         };
+        review();
+        return () => {
+            run.isEnded = true;
+        };
+    }
+
+    #start(number: number, seeds: readonly string[]): TestInstance {
+        const { clock, random, datagrams, store } = this;
+        const self = this.#identity(number);
         const log = { event: () => {} };
         const reach = { store: true };
+        const payload = { next: (): Partial<HeartbeatPayload> => ({}) };
+        const received: TestInstance["received"] = { outcomes: [], successes: [] };
         const flags = { isLeaving: false };
         const roster = new Roster(clock);
         const config = new CurrentConfig(testHash);
@@ -89,11 +128,15 @@
             roster,
             config,
             upstreams,
-            announce: () => gossip.sendHeartbeatSoon(),
-            sendToAll: datagram => gossip.sendToAll(datagram),
+            announce: () => {
+                exchange.sendHeartbeatSoon();
+                exchange.announceState();
+            },
+            sendToAll: message => exchange.sendToAll(message),
+            digestIntervalMs: () => exchange.digestIntervalMs(),
             onConfig: () => {},
         });
-        const gossip: Gossip = new Gossip({
+        const exchange: FleetExchange = new FleetExchange({
             self,
             clock,
             random,
@@ -101,10 +144,19 @@
             datagrams: datagrams.port(self.peerAddress),
             roster,
             seeds,
-            payload: () => ({ ...idlePayload, isReady: state.isComplete, ...flags, ...state.collectionStates() }),
-            onHeartbeat: heartbeat => state.recordHeartbeat(heartbeat),
-            onLoads: () => {},
-            onUpstreams: datagram => state.receiveUpstreamChanges(datagram),
+            usageWindowMs: () => usageWindowMs,
+            takePayload: () => ({
+                ...idlePayload,
+                isReady: state.isComplete,
+                ...flags,
+                ...state.collectionStates(),
+                ...payload.next(),
+            }),
+            collections: () => state.collectionStates(),
+            onOutcomes: batch => received.outcomes.push(...batch.outcomes),
+            onSuccesses: successes => received.successes.push(...successes),
+            onRevision: (collection, revision, ageMs) => state.recordRevision(collection, revision, ageMs),
+            onUpstreams: message => state.receiveUpstreamChanges(message),
         });
         const records = new InstanceRecords({
             self,
@@ -114,27 +166,19 @@
             isReader: () => state.isReader,
             isIsolated: () => roster.live().length === 0,
             isLive: address => roster.isLive(address),
-            contact: address => gossip.contact(address),
+            contact: address => exchange.contact(address),
         });
-        gossip.start();
-        const run = { isEnded: false };
-        const review = (): void => {
-            if (!run.isEnded) {
-                state.review();
-                records.review();
-                clock.after(reviewIntervalMs, review);
-            }
-        };
-        review();
+        exchange.start();
+        const endReviews = this.#review([state, records]);
         const leave = (): void => {
             flags.isLeaving = true;
-            gossip.sendHeartbeatSoon();
+            exchange.sendHeartbeatSoon();
         };
         const end = (): void => {
-            run.isEnded = true;
+            endReviews();
             state.stop();
-            gossip.stop();
+            exchange.stop();
         };
-        return { self, roster, gossip, state, config, upstreams, reach, leave, end };
+        return { self, roster, exchange, state, config, upstreams, reach, payload, received, leave, end };
     }
 }
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -14,11 +14,11 @@
 let failed = 0;
 let skipped = 0;
 
-/** Test files listed in KNOWN-RED.txt (lines `test: <path>`); their failures are printed, but do not fail CI. */
+/** Tests listed in KNOWN-RED.txt (lines `test: <path> "<name>"`); their failures are printed, but do not fail CI. */
 function readKnownFailures() {
     try {
         const text = readFileSync("KNOWN-RED.txt", "utf8");
-        return new Set([...text.matchAll(/^test: (\S+)/gm)].map(match => match[1]));
+        return new Set([...text.matchAll(/^test: (\S+ ".*")/gm)].map(match => match[1]));
     }
     catch {
         return new Set();
@@ -65,8 +65,11 @@
         if (code === 0 && total > 0) {
             continue;
         }
-        if (knownFailures.has(source)) {
-            skipped += Math.max(1, total - passedInFile);
+        const failures = [...output.matchAll(/^ *FAIL +(".*")$/gm)].map(match => `${source} ${match[1]}`);
+        // uvu states a failure for each test that did not pass; a file that ends early states fewer.
+        const isExplained = failures.length > 0 && failures.length === total - passedInFile;
+        if (isExplained && failures.every(failure => knownFailures.has(failure))) {
+            skipped += failures.length;
             console.log(`KNOWN RED ${source}\n${output}`);
             continue;
         }
