Spend the retry budget anywhere in its window, and use more of an organisation's bound

Change: the budget counts requests and retries over the window; rates leave two requests and 1.5 deviations of what is unreported, and near the limit admit the part of the demand for which all instances together have room; usage near a limit is reported within about 0.3 s.

--- a/packages/gateway/src/lib/balance/balance.test.ts
+++ b/packages/gateway/src/lib/balance/balance.test.ts
@@ -185,11 +185,26 @@
     assert.equal(load.report(), []);
 });
 
+const fleetBudget = () => ({ share: 0.2, burst: 62, windowMs: 10_000 });
+
+// Guards against retries that are denied at an instance with few requests, while the fleet's budget is unused.
+test("an instance with two requests per second may retry three of them at once", async () => {
+    const clock = new VirtualClock();
+    const budget = new RetryBudget(clock, fleetBudget);
+    for (let request = 0; request < 20; request++) {
+        budget.recordRequest(reportsService, 293);
+        await clock.advance(500);
+    }
+    assert.equal([1, 2, 3, 4].map(() => budget.tryAcquire(reportsService)), [true, true, true, false]);
+    await clock.advance(11_000);
+    assert.is(budget.tryAcquire(reportsService), false);
+});
+
 // Guards against a retry storm when a whole service fails: 0.2 of the requests and 62 in 10 s over the fleet.
 test("44 instances stay within the retry budget in each window", async () => {
     const clock = new VirtualClock();
     const random = seededRandom(5);
-    const budgets = Array.from({ length: 44 }, () => new RetryBudget(() => ({ share: 0.2, burst: 62 })));
+    const budgets = Array.from({ length: 44 }, () => new RetryBudget(clock, fleetBudget));
     const retriesAtMs: number[] = [];
     const requestsAtMs: number[] = [];
     for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
--- a/packages/gateway/src/lib/balance/retry-budget.ts
+++ b/packages/gateway/src/lib/balance/retry-budget.ts
@@ -1,5 +1,6 @@
 /** Limits retries and hedged requests over the whole fleet. */
-import type { ServiceId } from "@sniperoad/core";
+import type { Clock, ServiceId } from "@sniperoad/core";
+import { SlidingWindowCounter } from "../rates/sliding-window-counter.js";
 
 /** Limits of a {@link RetryBudget}. */
 export interface RetryBudgetOptions {
@@ -7,42 +8,58 @@
     readonly share: number;
     /** Extra attempts that the fleet may make in each window beyond the share. */
     readonly burst: number;
+    /** Window over which requests and extra attempts are counted. */
+    readonly windowMs: number;
 }
 
 /** Fraction of the share that is used; the rest covers retries that fall into a later window than their requests. */
 const usedShareFraction = 0.9;
-/** Fraction of the burst that instances may accumulate; the rest covers newly started instances. */
+/** Fraction of the burst that instances may use; the rest covers newly started instances. */
 const usedBurstFraction = 0.8;
-/** Credit of a new instance in attempts; it is low, since many instances may start at once. */
-const initialCredit = 0.5;
+/** Time from the start for which the part of the burst is not available, since many instances may start at once. */
+const burstDelayMs = 1_000;
+
+interface Account {
+    readonly requests: SlidingWindowCounter;
+    readonly retries: SlidingWindowCounter;
+}
 
 /**
- * A token bucket for each service: each request adds a fraction of an attempt, up to this instance's part of the burst.
- * Instances need no coordination, since their parts add up to the budget of the fleet.
+ * Counts the requests and the extra attempts of each service at this instance over the window of the budget. Extra
+ * attempts may be made up to a share of the requests and this instance's part of the burst, at any time within the
+ * window: an instance with few requests needs several at once, when an upstream fails. Instances need no coordination,
+ * since their parts add up to the budget of the fleet.
  *
  * @example
  * budget.recordRequest(service, knownInstances);
  * if (budget.tryAcquire(service)) { retry }
  */
 export class RetryBudget {
+    readonly #clock: Clock;
     readonly #options: () => RetryBudgetOptions;
-    readonly #credits = new Map<ServiceId, number>();
+    readonly #accounts = new Map<ServiceId, Account>();
+    readonly #startedMs: number;
+    #instanceCount = 1;
 
-    constructor(options: () => RetryBudgetOptions) {
+    constructor(clock: Clock, options: () => RetryBudgetOptions) {
+        this.#clock = clock;
         this.#options = options;
+        this.#startedMs = clock.monotonicMs();
     }
 
     /** Counts a request of a caller to a service. */
     recordRequest(service: ServiceId, instanceCount: number): void {
-        const { share, burst } = this.#options();
-        // A capacity of less than one attempt would never allow a retry.
-        const capacity = Math.max(1, burst * usedBurstFraction / Math.max(1, instanceCount));
-        this.#credits.set(service, Math.min(capacity, this.#credit(service) + share * usedShareFraction));
+        this.#instanceCount = Math.max(1, instanceCount);
+        this.#account(service).requests.add(1);
     }
 
     /** Whether an extra attempt is available. */
     hasCredit(service: ServiceId): boolean {
-        return this.#credit(service) >= 1;
+        const { requests, retries } = this.#account(service);
+        const { share, burst } = this.#options();
+        const hasBurst = this.#clock.monotonicMs() - this.#startedMs >= burstDelayMs;
+        const burstPart = hasBurst ? burst * usedBurstFraction / this.#instanceCount : 0;
+        return retries.total() + 1 <= requests.total() * share * usedShareFraction + burstPart;
     }
 
     /** Takes one extra attempt; returns false if none is available. */
@@ -50,11 +67,21 @@
         if (!this.hasCredit(service)) {
             return false;
         }
-        this.#credits.set(service, this.#credit(service) - 1);
+        this.#account(service).retries.add(1);
         return true;
     }
 
-    #credit(service: ServiceId): number {
-        return this.#credits.get(service) ?? initialCredit;
+    #account(service: ServiceId): Account {
+        const found = this.#accounts.get(service);
+        if (found !== undefined) {
+            return found;
+        }
+        const { windowMs } = this.#options();
+        const created: Account = {
+            requests: new SlidingWindowCounter(this.#clock, windowMs),
+            retries: new SlidingWindowCounter(this.#clock, windowMs),
+        };
+        this.#accounts.set(service, created);
+        return created;
     }
 }
--- a/packages/gateway/src/lib/fleet/datagrams.test.ts
+++ b/packages/gateway/src/lib/fleet/datagrams.test.ts
@@ -24,6 +24,7 @@
     ...info,
     sequence: 1,
     usage: [{ organisation: id("org-1"), admitted: 3, offered: 4 }],
+    hasScarceUsage: true,
     inFlight: [{ upstream: id("u1"), count: 2 }],
     successes: [{ upstream: id("u2"), count: 1 }],
     outcomes: [{ sequence: 7, upstream: id("u1"), kind: "failure" }],
--- a/packages/gateway/src/lib/fleet/digest-publisher.ts
+++ b/packages/gateway/src/lib/fleet/digest-publisher.ts
@@ -13,6 +13,8 @@
 
 /** Minimum time between distributions of urgent outcomes, and between digests with urgent changes. */
 const minUrgentGapMs = 40;
+/** Minimum time between digests that report requests of an organisation near its limit. */
+const scarceUsageGapMs = 150;
 /** Fraction of the digest interval after which a digest reports new members; many may start at once. */
 const memberChangeFraction = 0.4;
 /** Number of digest intervals for which an instance stays a standby without a digest of the other aggregator. */
@@ -81,6 +83,9 @@
             const gapMs = heartbeat.isLeaving ? minUrgentGapMs : this.#options.intervalMs() * memberChangeFraction;
             this.#scheduleDigest(gapMs);
         }
+        if (heartbeat.hasScarceUsage && !this.#isStandby()) {
+            this.#scheduleDigest(scarceUsageGapMs);
+        }
         if (isUrgent) {
             this.#scheduleUrgent();
         }
@@ -152,7 +157,7 @@
         this.#lastDigestMs = this.#options.clock.monotonicMs();
         if (this.#aggregator.isActive) {
             const { distributor, onDigest, onLoads } = this.#options;
-            const isStandby = this.#lastDigestMs < this.#standbyUntilMs;
+            const isStandby = this.#isStandby();
             const digest = this.#aggregator.createDigest(isStandby);
             distributor.toFleet({ kind: "digest", digest });
             onDigest(digest);
@@ -164,6 +169,10 @@
         }
     }
 
+    #isStandby(): boolean {
+        return this.#options.clock.monotonicMs() < this.#standbyUntilMs;
+    }
+
     #tick(): void {
         const { clock, random, intervalMs } = this.#options;
         if (this.#isStopped) {
--- a/packages/gateway/src/lib/fleet/discovery.ts
+++ b/packages/gateway/src/lib/fleet/discovery.ts
@@ -121,6 +121,7 @@
             ...collections(),
             sequence: 0,
             usage: [],
+            hasScarceUsage: false,
             inFlight: [],
             successes: [],
             outcomes: [],
--- a/packages/gateway/src/lib/fleet/fleet-exchange.ts
+++ b/packages/gateway/src/lib/fleet/fleet-exchange.ts
@@ -21,6 +21,8 @@
 export const heartbeatIntervalMs = 300;
 /** Minimum time from a heartbeat to an urgent one, so that a burst of changes causes only one. */
 const minHeartbeatGapMs = 25;
+/** Minimum time from a heartbeat to one that reports requests of an organisation near its limit. */
+const minUsageGapMs = 60;
 /** Minimum time from a heartbeat to one that only reports changed loads, in the smallest zones. */
 const minLoadGapMs = 100;
 /** Bounds of the interval between the digests of an aggregator. */
@@ -133,6 +135,11 @@
         this.#scheduleHeartbeat(Math.max(minLoadGapMs, this.digestIntervalMs() / 3), false);
     }
 
+    /** Sends a heartbeat soon, since an organisation near its limit has used it. */
+    sendUsageSoon(): void {
+        this.#scheduleHeartbeat(minUsageGapMs, false);
+    }
+
     /** Contacts an instance that was discovered by other means, unless it is live. */
     contact(peerAddress: string): void {
         this.#discovery.contact(peerAddress);
--- a/packages/gateway/src/lib/fleet/heartbeat-codec.ts
+++ b/packages/gateway/src/lib/fleet/heartbeat-codec.ts
@@ -43,6 +43,7 @@
     encodeCollectionState(heartbeat.config),
     encodeCollectionState(heartbeat.upstreams),
     heartbeat.usage.slice(0, maxListEntries).map(entry => [entry.organisation, entry.admitted, entry.offered]),
+    heartbeat.hasScarceUsage,
     encodeCounts(heartbeat.inFlight),
     encodeCounts(heartbeat.successes),
     heartbeat.outcomes.slice(0, maxListEntries).map(({ sequence, upstream, kind }) => [
@@ -67,11 +68,12 @@
         config,
         upstreams,
         usage,
+        hasScarceUsage,
         inFlight,
         successes,
         outcomes,
         crashes,
-    ] = readList(value, { length: 11 });
+    ] = readList(value, { length: 12 });
     return {
         ...decodeInfo(info),
         sequence: readCount(sequence),
@@ -84,6 +86,7 @@
             admitted: readCount(admitted),
             offered: readCount(offered),
         })),
+        hasScarceUsage: readBoolean(hasScarceUsage),
         inFlight: decodeCounts(inFlight),
         successes: decodeCounts(successes),
         outcomes: decodeEntries(outcomes, 3, ([outcomeSequence, upstream, kind]) => ({
--- a/packages/gateway/src/lib/fleet/heartbeat.ts
+++ b/packages/gateway/src/lib/fleet/heartbeat.ts
@@ -63,6 +63,8 @@
     readonly config: CollectionState;
     readonly upstreams: CollectionState;
     readonly usage: readonly OrganisationUsage[];
+    /** Whether the usage contains new requests of an organisation near its limit, which others must know soon. */
+    readonly hasScarceUsage: boolean;
     /** Requests in flight from the sender. */
     readonly inFlight: readonly UpstreamCount[];
     /** Ordinary successes since the previous heartbeat; only the first aggregator receives them. */
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -107,7 +107,7 @@
         announce,
         onLoad: () => exchange.sendLoadsSoon(),
         remoteInFlight: key => exchange.view.inFlight(key),
-        remoteRates: { usage: key => exchange.view.usage(key), reportDelayMs: () => exchange.reportDelayMs() },
+        remoteRates: remoteRatesOf(() => exchange),
     });
     const { outcomes, crashes, rates, load } = evidence;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
@@ -142,7 +142,7 @@
             isReady: isReady(),
             isLeaving: flags.isLeaving,
             ...state.collectionStates(),
-            usage: rates.report(),
+            ...rates.take(),
             inFlight: load.report(),
             ...outcomes.take(),
             crashes: crashes.report(),
@@ -169,6 +169,12 @@
     return { datagrams, peers, roster, exchange, state, records, config, upstreams, ...evidence, isReady };
 };
 
+const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates => ({
+    usage: key => exchange().view.usage(key),
+    reportDelayMs: () => exchange().reportDelayMs(),
+    onScarce: () => exchange().sendUsageSoon(),
+});
+
 /** State about upstreams, loads and rates, derived from the requests of all instances. */
 type Evidence = Pick<FleetComponents, "gray" | "load" | "rates" | "floor" | "outcomes" | "crashes">;
 
@@ -185,7 +191,7 @@
         gray,
         floor,
         load: new FleetLoad(onLoad, remoteInFlight),
-        rates: new FleetRateLimiter(clock, () => rateOptions(settings()), remoteRates),
+        rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
         outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce }),
         crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
     };
@@ -225,9 +231,9 @@
     const { clock, random, log, sha256, headers, settings } = options;
     const { roster, upstreams, gray, load, outcomes, crashes, state, config, rates, floor } = fleet;
     const paths = new PathBackoff(clock);
-    const retryBudget = new RetryBudget(() => {
-        const { retryShare, retryBurst } = settings();
-        return { share: retryShare, burst: retryBurst };
+    const retryBudget = new RetryBudget(clock, () => {
+        const { retryShare, retryBurst, retryWindowSeconds } = settings();
+        return { share: retryShare, burst: retryBurst, windowMs: retryWindowSeconds * 1_000 };
     });
     const dispatcher = new UpstreamDispatcher({
         clock,
--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.test.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.test.ts
@@ -3,6 +3,7 @@
 import * as assert from "uvu/assert";
 import type { RemoteUsage } from "../fleet/fleet-view.js";
 import type { OrganisationUsage } from "../fleet/heartbeat.js";
+import type { GatewayOrganisation } from "../model.js";
 import { testOrganisation } from "../testing/index.js";
 import { FleetRateLimiter } from "./fleet-rate-limiter.js";
 import type { FleetSize } from "./fleet-rate-limiter.js";
@@ -11,42 +12,66 @@
 const windowMs = 5_000;
 const overage = 0.1;
 const slack = 20;
-const organisation = testOrganisation({ ratePerSecond: 60, burst: 60 });
-const windowLimit = organisation.ratePerSecond * windowMs / 1_000 + organisation.burst;
+const largeOrganisation = testOrganisation({ ratePerSecond: 60, burst: 60 });
+const smallOrganisation = testOrganisation({ ratePerSecond: 2, burst: 2 });
+
+const windowLimitOf = ({ ratePerSecond, burst }: GatewayOrganisation): number =>
+    ratePerSecond * windowMs / 1_000 + burst;
 /** Maximum requests that the platform allows in a window. */
-const bound = windowLimit * (1 + overage) + slack;
+const boundOf = (organisation: GatewayOrganisation): number => windowLimitOf(organisation) * (1 + overage) + slack;
+const bound = boundOf(largeOrganisation);
 
 interface Simulation {
     readonly instanceCount: number;
     readonly requestsPerSecond: (nowMs: number) => number;
     /** Share of the instances that receive requests. */
     readonly share: number;
+    readonly organisation?: GatewayOrganisation;
     /** Whether an instance is partitioned from the others. */
     readonly isPartitioned?: (index: number) => boolean;
+    /** Interval at which the others learn the usage of an instance. */
+    readonly reportIntervalMs?: number;
+    readonly seed?: number;
 }
 
-/** Simulates 20 s of one organisation's requests, with heartbeats every 400 ms, which is slower than in production. */
-const simulate = async ({ instanceCount, requestsPerSecond, share, isPartitioned = () => false }: Simulation) => {
+/** Time until the others learn of the usage of an organisation near its limit. */
+const scarceDelayMs = 300;
+
+/** Simulates 20 s of one organisation's requests. */
+const simulate = async (
+    {
+        instanceCount,
+        requestsPerSecond,
+        share,
+        organisation = largeOrganisation,
+        isPartitioned = () => false,
+        reportIntervalMs = 400,
+        seed = 3,
+    }: Simulation,
+) => {
     const clock = new VirtualClock();
-    const random = seededRandom(3);
+    const random = seededRandom(seed);
+    const report = (index: number): void => void reports.set(index, instances[index]!.rates.take().usage);
     /** Last report of each instance. */
     const reports = new Map<number, readonly OrganisationUsage[]>();
     const sumOfOthers = (index: number): RemoteUsage => {
         const others = [...reports].filter(([other]) =>
             other !== index && !isPartitioned(other) && !isPartitioned(index)
         );
-        const entries = others.flatMap(([, usage]) => usage);
-        return {
-            admitted: entries.reduce((sum, entry) => sum + entry.admitted, 0),
-            offered: entries.reduce((sum, entry) => sum + entry.offered, 0),
-        };
+        return sumOf(others.flatMap(([, usage]) => usage));
     };
     const instances = Array.from({ length: instanceCount }, (_, index) => ({
-        rates: new FleetRateLimiter(clock, () => ({ windowMs, overage, slack }), {
-            usage: () => sumOfOthers(index),
-            reportDelayMs: () => 550,
+        rates: new FleetRateLimiter({
+            clock,
+            random,
+            limits: () => ({ windowMs, overage, slack }),
+            remote: {
+                usage: () => sumOfOthers(index),
+                reportDelayMs: () => reportIntervalMs + 150,
+                onScarce: () => void clock.after(scarceDelayMs, () => report(index)),
+            },
         }),
-        phaseMs: Math.floor(random() * 400),
+        phaseMs: Math.floor(random() * reportIntervalMs),
         size: (): FleetSize => ({
             live: isPartitioned(index) ? 1 : instances.filter((_entry, other) => !isPartitioned(other)).length,
             known: instanceCount,
@@ -54,32 +79,41 @@
     }));
     const admittedAtMs: number[] = [];
     let offered = 0;
+    const offer = ({ rates, size }: (typeof instances)[number], nowMs: number): void => {
+        offered++;
+        rates.recordOffered(organisation.id);
+        if (rates.tryAdmit(organisation, size()).isAdmitted) {
+            admittedAtMs.push(nowMs);
+        }
+    };
     for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
         instances.forEach((instance, index) => {
-            if (nowMs % 400 === Math.floor(instance.phaseMs / 10) * 10) {
-                reports.set(index, instance.rates.report());
+            if (nowMs % reportIntervalMs === Math.floor(instance.phaseMs / 10) * 10) {
+                report(index);
             }
         });
         const expected = requestsPerSecond(nowMs) / 100;
         for (let left = expected; left > 0; left--) {
-            if (random() > left) {
-                continue;
-            }
-            const instance = instances[Math.floor(random() * instanceCount * share)]!;
-            offered++;
-            instance.rates.recordOffered(organisation.id);
-            if (instance.rates.tryAdmit(organisation, instance.size()).isAdmitted) {
-                admittedAtMs.push(nowMs);
+            if (random() <= left) {
+                offer(instances[Math.floor(random() * instanceCount * share)]!, nowMs);
             }
         }
         await clock.advance(10);
     }
-    const maxInWindow = Math.max(
-        ...admittedAtMs.map(fromMs => admittedAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + windowMs).length),
-    );
-    return { offered, admitted: admittedAtMs.length, maxInWindow };
+    return { offered, admitted: admittedAtMs.length, maxInWindow: maxCountInWindow(admittedAtMs) };
 };
 
+const sumOf = (entries: readonly OrganisationUsage[]): RemoteUsage => ({
+    admitted: entries.reduce((sum, entry) => sum + entry.admitted, 0),
+    offered: entries.reduce((sum, entry) => sum + entry.offered, 0),
+});
+
+const maxCountInWindow = (times: readonly number[]): number =>
+    Math.max(...times.map(fromMs => times.filter(atMs => atMs >= fromMs && atMs < fromMs + windowMs).length));
+
+/** A fleet whose instances each have few requests, and hear of the others' late. */
+const largeFleet = { instanceCount: 293, share: 1, organisation: smallOrganisation, reportIntervalMs: 900 };
+
 // Guards against refusals within the rate, whichever instances the callers use.
 for (const share of [1, 3 / 44]) {
     test(`requests within the rate pass, callers on ${Math.round(share * 44)} of 44 instances`, async () => {
@@ -96,7 +130,28 @@
         share: 1,
     });
     assert.ok(maxInWindow <= bound, `${maxInWindow} in one window, bound ${bound}`);
-    assert.ok(admitted >= 0.8 * (6 * 38 + 14 * organisation.ratePerSecond), `${admitted} admitted`);
+    assert.ok(admitted >= 0.8 * (6 * 38 + 14 * largeOrganisation.ratePerSecond), `${admitted} admitted`);
+});
+
+// Guards against refusals of a small organisation, whose allowed excess is larger than its rate.
+test("293 instances refuse a small organisation almost nothing of its rate and burst", async () => {
+    let [refused, total] = [0, 0];
+    for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+        const requestsPerSecond = (): number => windowLimitOf(smallOrganisation) / (windowMs / 1_000);
+        const { offered, admitted } = await simulate({ ...largeFleet, requestsPerSecond, seed });
+        refused += offered - admitted;
+        total += offered;
+    }
+    assert.ok(refused <= 0.01 * total, `${refused} of ${total} refused`);
+});
+
+// Guards against instances that learn too late that an organisation with few requests sends many more.
+test("293 instances keep a small organisation within its bound when it sends ten times its usual rate", async () => {
+    for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+        const requestsPerSecond = (nowMs: number): number => nowMs < 6_000 ? 2.8 : 28;
+        const { maxInWindow } = await simulate({ ...largeFleet, requestsPerSecond, seed });
+        assert.ok(maxInWindow <= boundOf(smallOrganisation), `${maxInWindow} in one window, seed ${seed}`);
+    }
 });
 
 // Guards against partitioned instances that each admit the whole rate.
--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
@@ -1,5 +1,5 @@
 /** Limits the request rate of each organisation across the fleet, without a round trip per request. */
-import type { Clock, OrganisationId } from "@sniperoad/core";
+import type { Clock, OrganisationId, Random } from "@sniperoad/core";
 import type { RemoteUsage } from "../fleet/fleet-view.js";
 import type { OrganisationUsage } from "../fleet/heartbeat.js";
 import type { GatewayOrganisation } from "../model.js";
@@ -22,32 +22,42 @@
     readonly usage: (key: number) => RemoteUsage;
     /** Time from an admission at another instance until it is contained in the usage. */
     readonly reportDelayMs: () => number;
+    /** Called when a request of an organisation near its limit is admitted; the others must know soon. */
+    readonly onScarce: () => void;
 }
 
-/**
- * Share of the allowed excess up to which requests are admitted; the rest covers what other instances admit before
- * their reports arrive.
- */
-const usableExcessShare = 0.6;
-/**
- * How much longer than the window of the rate an admission counts, since the request reaches its upstream later than
- * that and may be sent again.
- */
-const extraWindowMs = 550;
+/** Number of standard deviations of the requests that are not reported yet for which the count leaves room. */
+const safetyDeviations = 1.5;
+/** Requests for which the count leaves room in addition: those between a decision and its report at this instance. */
+const safetyMargin = 2;
+/** How much longer than the window of the rate an admission counts, since the request may be sent again later. */
+const extraWindowMs = 100;
 /** Window over which the current request rate is estimated. */
 const demandWindowMs = 600;
+/** Share of the limit from which other instances are told of admissions soon. */
+const scarceShare = 0.6;
+/** Time from an admission until others count it, while the limit is near. */
+const scarceReportDelayMs = 500;
 /** Requests of this instance. */
 interface Account {
     readonly admitted: SlidingWindowCounter;
     readonly offered: SlidingWindowCounter;
 }
 
+/** What a {@link FleetRateLimiter} depends on. */
+export interface FleetRateLimiterSetup {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly limits: () => FleetRateLimiterOptions;
+    readonly remote: RemoteRates;
+}
+
 /** Whether a request is admitted, with the numbers behind the decision. */
 export interface RateDecision {
     readonly isAdmitted: boolean;
-    /** Number of requests in the window: those reported, those assumed to be unreported, and this one. */
+    /** Number of requests in the window: those reported, those of unreachable instances, and this one. */
     readonly counted: number;
-    /** Maximum of `counted` at which a request is admitted. */
+    /** Value of `counted` from which no request is admitted; shortly below it, only some are. */
     readonly limit: number;
 }
 
@@ -60,9 +70,10 @@
 }
 
 /**
- * Counts the requests of each organisation that all instances admit, and admits a request if the count leaves room for it and for what is not reported yet. If fewer than half of the known instances are live,
- * this instance is probably partitioned and limits itself to an equal share of the rate; the shares of other instances
- * that are not live are reserved for them.
+ * Counts the requests of each organisation that all instances admit, and admits a request if the count leaves room for
+ * it. Near the limit it admits as many of them as all instances together have room for until they hear of each other. If fewer than half of the known instances are live, this instance is probably
+ * partitioned and limits itself to an equal share of the rate; the shares of other instances that are not live are
+ * reserved for them.
  *
  * @example
  * if (rates.tryAdmit(organisation, size).isAdmitted) { send }
@@ -71,12 +82,15 @@
     readonly #clock: Clock;
     readonly #options: () => FleetRateLimiterOptions;
     readonly #remote: RemoteRates;
+    readonly #random: Random;
     readonly #accounts = new Map<OrganisationId, Account>();
+    #hasScarceUsage = false;
 
-    constructor(clock: Clock, options: () => FleetRateLimiterOptions, remote: RemoteRates) {
+    constructor({ clock, random, limits, remote }: FleetRateLimiterSetup) {
         this.#clock = clock;
-        this.#options = options;
+        this.#options = limits;
         this.#remote = remote;
+        this.#random = random;
     }
 
     /** Counts a request from a caller. */
@@ -89,15 +103,25 @@
         const account = this.#account(organisation.id);
         const decision = organisation.ratePerSecond > 0
             ? this.#decide(organisation, account, size)
-            : { isAdmitted: true, counted: 0, limit: 0 };
+            : { isAdmitted: true, counted: 0, limit: Infinity };
         if (decision.isAdmitted) {
             account.admitted.add(1);
+            if (decision.counted >= decision.limit * scarceShare) {
+                this.#hasScarceUsage = true;
+                this.#remote.onScarce();
+            }
         }
         return decision;
     }
 
-    /** Usage to report to other instances: that of organisations with requests in the windows. */
-    report(): OrganisationUsage[] {
+    /** Takes what the next heartbeat reports: the usage of organisations with requests in the windows. */
+    take(): { readonly usage: readonly OrganisationUsage[]; readonly hasScarceUsage: boolean; } {
+        const hasScarceUsage = this.#hasScarceUsage;
+        this.#hasScarceUsage = false;
+        return { usage: this.#usage(), hasScarceUsage };
+    }
+
+    #usage(): OrganisationUsage[] {
         return [...this.#accounts]
             .map(([organisation, { admitted, offered }]) => ({
                 organisation,
@@ -110,18 +134,25 @@
     #decide(organisation: GatewayOrganisation, account: Account, size: FleetSize): RateDecision {
         const { windowMs, overage, slack } = this.#options();
         const windowLimit = organisation.ratePerSecond * windowMs / 1_000 + organisation.burst;
-        const limit = windowLimit + usableExcessShare * (windowLimit * overage + slack);
-        const instanceLimit = limit / Math.max(1, size.known);
+        const bound = windowLimit * (1 + overage) + slack;
+        const instanceLimit = windowLimit / Math.max(1, size.known);
         if (size.live * 2 < size.known) {
             const counted = account.admitted.total() + 1;
             return { isAdmitted: counted <= instanceLimit, counted, limit: instanceLimit };
         }
         const assumedUnreachable = (size.known - size.live) * instanceLimit;
         const remote = this.#remote.usage(nameKey(organisation.id));
-        // Instances admit in proportion to their demand, so the demand bounds what is not reported yet.
-        const unreported = remote.offered * this.#remote.reportDelayMs() / demandWindowMs;
-        const counted = account.admitted.total() + remote.admitted + unreported + assumedUnreachable + 1;
-        return { isAdmitted: counted <= limit, counted, limit };
+        const used = account.admitted.total() + remote.admitted + assumedUnreachable + 1;
+        const reportDelayMs = used >= bound * scarceShare
+            ? Math.min(scarceReportDelayMs, this.#remote.reportDelayMs())
+            : this.#remote.reportDelayMs();
+        const unreported = remote.offered * reportDelayMs / demandWindowMs;
+        const room = bound - safetyMargin - used;
+        const deviations = safetyDeviations * Math.sqrt(Math.min(unreported, Math.max(0, room)));
+        const usable = room - deviations;
+        // All instances see the same room, so each admits only a part if their requests do not fit into it.
+        const isAdmitted = usable >= 0 && (usable >= unreported || this.#random() < usable / unreported);
+        return { isAdmitted, counted: used, limit: bound - safetyMargin - deviations };
     }
 
     #account(organisation: OrganisationId): Account {
--- a/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
@@ -58,7 +58,7 @@
     const load = new FleetLoad();
     const floor = { pick: () => undefined, recordUse: () => {}, recordOutcome: () => {} };
     const crashes = new CrashTracker({ clock, ...noOthers });
-    const retryBudget = new RetryBudget(() => ({ share: 1, burst: 1_000 }));
+    const retryBudget = new RetryBudget(clock, () => ({ share: 2, burst: 0, windowMs: 10_000 }));
     for (let request = 0; request < earlierRequests; request++) {
         retryBudget.recordRequest(reportsService, 1);
     }
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -36,6 +36,8 @@
     retryShare: z.number().min(0),
     /** Number of additional attempts that the fleet may make per window beyond the share. */
     retryBurst: z.number().min(0),
+    /** Window over which additional attempts are counted; a change applies only to services first seen afterwards. */
+    retryWindowSeconds: positive.default(10),
     /** Window over which the rate of an organisation is counted. */
     rateWindowSeconds: positive,
     /** Fraction by which an organisation's count in a window may exceed the limit of its rate and burst. */
--- a/packages/gateway/src/lib/template.test.ts
+++ b/packages/gateway/src/lib/template.test.ts
@@ -25,6 +25,7 @@
     "bounds.strict_revoke": false,
     "bounds.retry_budget_ratio": 0.2,
     "bounds.retry_budget_burst": 62,
+    "bounds.budget_window_s": 10,
     "bounds.quota_window_s": 5,
     "bounds.quota_overage": 0.1,
     "bounds.quota_slack": 20,
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -71,6 +71,7 @@
     config: idleCollectionState,
     upstreams: idleCollectionState,
     usage: [],
+    hasScarceUsage: false,
     inFlight: [],
     successes: [],
     outcomes: [],
