Report loads to the own zone more often, and forward only through instances heard recently

Change: the first aggregator sends loads to its zone at 0.4 of the digest interval, with acknowledgements in the order of the members of a digest; early heartbeats without outcomes go to it only. Those that forward are chosen from the instances that were heard as recently as the others of their zone.

--- a/packages/gateway/src/lib/fleet/datagrams.test.ts
+++ b/packages/gateway/src/lib/fleet/datagrams.test.ts
@@ -50,7 +50,9 @@
 
 const loads: ZoneLoads = {
     aggregatorKey: 0xFF_FF_FF_FF,
-    sequence: 3,
+    digestSequence: 3,
+    sequence: 9,
+    acknowledged: Uint8Array.from([255, 0]),
     inFlight: [{ key: 1, count: 2 }, { key: 2, count: 3 }],
     successes: [{ key: 1, count: 20_000 }, { key: 2, count: 4 }],
 };
@@ -107,7 +109,7 @@
         ["members that end within an entry", datagramOf(digestFields({ 3: Buffer.from([1, 2, 3]) }))],
         ["members of the wrong type", datagramOf(digestFields({ 3: [1] }))],
         ["an endless count", datagramOf(digestFields({ 6: Buffer.alloc(40, 0xFF) }))],
-        ["loads that end within an entry", datagramOf(["loads", [1, 1, Buffer.from([0, 0, 1])]])],
+        ["loads that end within an entry", datagramOf(["loads", [1, 1, 1, Buffer.from([0]), Buffer.from([0, 0, 1])]])],
         ["an outcome of an unknown kind", datagramOf(["outcomes", Buffer.from([0, 0, 0, 1, 1, 0, 0, 1, 9]), []])],
         ["a forward address of the wrong type", encoder.encode([datagramVersion, false, [7], Buffer.from([0])])],
     ] as const
--- a/packages/gateway/src/lib/fleet/digest-codec.ts
+++ b/packages/gateway/src/lib/fleet/digest-codec.ts
@@ -66,7 +66,9 @@
 /** Encodes the requests at the upstreams as a list; {@link decodeLoads} is the inverse. */
 export const encodeLoads = (loads: ZoneLoads): readonly unknown[] => [
     loads.aggregatorKey,
+    loads.digestSequence,
     loads.sequence,
+    loads.acknowledged,
     pack(upstreamCountsOf(loads), writeUpstreamCounts),
 ];
 
@@ -76,11 +78,13 @@
  * @throws DatagramError if the value does not match the schema
  */
 export const decodeLoads = (value: unknown): ZoneLoads => {
-    const [aggregatorKey, sequence, upstreamCounts] = readList(value, { length: 3 });
+    const [aggregatorKey, digestSequence, sequence, acknowledged, upstreamCounts] = readList(value, { length: 5 });
     const counts = unpack(upstreamCounts, readUpstreamCounts);
     return {
         aggregatorKey: readCount(aggregatorKey, maxKey),
+        digestSequence: readCount(digestSequence),
         sequence: readCount(sequence),
+        acknowledged: readBytes(acknowledged),
         inFlight: counts.filter(({ inFlight }) => inFlight > 0).map(({ key, inFlight }) => ({ key, count: inFlight })),
         successes: counts.filter(({ successes }) => successes > 0).map(({ key, successes }) => ({
             key,
--- a/packages/gateway/src/lib/fleet/digest-publisher.ts
+++ b/packages/gateway/src/lib/fleet/digest-publisher.ts
@@ -6,15 +6,18 @@
 import { maxIdentities, maxOutcomes } from "./datagrams.js";
 import type { ZoneDigest, ZoneLoads } from "./digest.js";
 import type { Distributor } from "./distributor.js";
+import { EarliestTimer } from "./earliest-timer.js";
 import { instanceInfo } from "./heartbeat.js";
 import type { CollectionState, Heartbeat } from "./heartbeat.js";
 import { ZoneAggregator } from "./zone-aggregator.js";
-import type { OutcomeBatch } from "./zone-aggregator.js";
+import type { LoadsReceivers, OutcomeBatch } from "./zone-aggregator.js";
 
 /** Minimum time between distributions of urgent outcomes, and between digests with urgent changes. */
 const minUrgentGapMs = 40;
 /** Minimum time between digests that report requests of an organisation near its limit. */
 const scarceUsageGapMs = 150;
+/** Minimum time between loads for the own zone, as a fraction of the digest interval. */
+const loadsIntervalFraction = 0.4;
 /** Fraction of the digest interval after which a digest reports new members; many may start at once. */
 const memberChangeFraction = 0.4;
 /** Number of digest intervals for which an instance stays a standby without a digest of the other aggregator. */
@@ -53,8 +56,10 @@
     #lastUrgentMs = -Infinity;
     #lastDigestMs = -Infinity;
     #timer: Timer | undefined;
-    #earlyDigest: { readonly timer: Timer; readonly dueMs: number; } | undefined;
-    #urgentTimer: Timer | undefined;
+    #lastLoadsMs = -Infinity;
+    readonly #earlyDigest: EarliestTimer;
+    readonly #earlyLoads: EarliestTimer;
+    readonly #urgent: EarliestTimer;
     /** Time until which this instance is a standby. */
     #standbyUntilMs = -Infinity;
     #isStopped = false;
@@ -62,6 +67,12 @@
     constructor(options: DigestPublisherOptions) {
         this.#options = options;
         this.#aggregator = new ZoneAggregator(options);
+        this.#earlyDigest = new EarliestTimer(options.clock, () => {
+            this.#distributeUrgent();
+            this.#distributeDigest();
+        });
+        this.#earlyLoads = new EarliestTimer(options.clock, () => this.#distributeLoads("zone"));
+        this.#urgent = new EarliestTimer(options.clock, () => this.#distributeUrgent());
     }
 
     start(): void {
@@ -70,7 +81,8 @@
 
     stop(): void {
         this.#isStopped = true;
-        [this.#timer, this.#earlyDigest?.timer, this.#urgentTimer].forEach(timer => timer?.cancel());
+        this.#timer?.cancel();
+        [this.#earlyDigest, this.#earlyLoads, this.#urgent].forEach(timer => timer.cancel());
     }
 
     /** Records the report of an instance, or of this one, that uses this instance as its aggregator. */
@@ -81,13 +93,16 @@
         }
         if (hasMemberChanged) {
             const gapMs = heartbeat.isLeaving ? minUrgentGapMs : this.#options.intervalMs() * memberChangeFraction;
-            this.#scheduleDigest(gapMs);
+            this.#earlyDigest.schedule(this.#lastDigestMs + gapMs);
         }
         if (heartbeat.hasScarceUsage && !this.#isStandby()) {
-            this.#scheduleDigest(scarceUsageGapMs);
+            this.#earlyDigest.schedule(this.#lastDigestMs + scarceUsageGapMs);
+        }
+        if (heartbeat.inFlight.length + heartbeat.successes.length > 0) {
+            this.#earlyLoads.schedule(this.#lastLoadsMs + this.#options.intervalMs() * loadsIntervalFraction);
         }
         if (isUrgent) {
-            this.#scheduleUrgent();
+            this.#urgent.schedule(this.#lastUrgentMs + minUrgentGapMs);
         }
     }
 
@@ -105,33 +120,7 @@
 
     /** As an aggregator, distributes a digest soon, since a member or the state of this instance has changed. */
     announceState(): void {
-        this.#scheduleDigest(minUrgentGapMs);
-    }
-
-    /** Schedules a digest before the next periodic one, at least `gapMs` after the last one. */
-    #scheduleDigest(gapMs: number): void {
-        const { clock } = this.#options;
-        const nowMs = clock.monotonicMs();
-        const dueMs = Math.max(nowMs, this.#lastDigestMs + gapMs);
-        if (this.#isStopped || this.#earlyDigest !== undefined && this.#earlyDigest.dueMs <= dueMs) {
-            return;
-        }
-        this.#earlyDigest?.timer.cancel();
-        const timer = clock.after(dueMs - nowMs, () => {
-            this.#earlyDigest = undefined;
-            this.#distributeUrgent();
-            this.#distributeDigest();
-        });
-        this.#earlyDigest = { timer, dueMs };
-    }
-
-    #scheduleUrgent(): void {
-        const { clock } = this.#options;
-        const delayMs = Math.max(0, this.#lastUrgentMs + minUrgentGapMs - clock.monotonicMs());
-        this.#urgentTimer ??= clock.after(delayMs, () => {
-            this.#urgentTimer = undefined;
-            this.#distributeUrgent();
-        });
+        this.#earlyDigest.schedule(this.#lastDigestMs + minUrgentGapMs);
     }
 
     #distributeUrgent(): void {
@@ -156,17 +145,28 @@
     #distributeDigest(): void {
         this.#lastDigestMs = this.#options.clock.monotonicMs();
         if (this.#aggregator.isActive) {
-            const { distributor, onDigest, onLoads } = this.#options;
-            const isStandby = this.#isStandby();
-            const digest = this.#aggregator.createDigest(isStandby);
+            const { distributor, onDigest } = this.#options;
+            const digest = this.#aggregator.createDigest(this.#isStandby());
             distributor.toFleet({ kind: "digest", digest });
             onDigest(digest);
-            const loads = this.#aggregator.takeLoads(isStandby);
-            if (loads !== undefined) {
-                distributor.toFleet({ kind: "loads", loads });
-                onLoads(loads);
-            }
+            this.#distributeLoads("zone");
+            this.#distributeLoads("others");
+        }
+    }
+
+    #distributeLoads(receivers: LoadsReceivers): void {
+        const { distributor, onLoads, clock } = this.#options;
+        const loads = this.#aggregator.takeLoads(receivers, this.#isStandby());
+        if (loads === undefined) {
+            return;
+        }
+        if (receivers === "others") {
+            distributor.toOtherZones({ kind: "loads", loads });
+            return;
         }
+        this.#lastLoadsMs = clock.monotonicMs();
+        distributor.toOwnZone({ kind: "loads", loads });
+        onLoads(loads);
     }
 
     #isStandby(): boolean {
--- a/packages/gateway/src/lib/fleet/digest.ts
+++ b/packages/gateway/src/lib/fleet/digest.ts
@@ -57,17 +57,21 @@
 }
 
 /**
- * Requests at the upstreams, sent with each digest that has usage. They are a message of their own, so that both fit
- * into a packet of common links.
+ * Requests at the upstreams. They are a message of their own, since the own zone receives them more often than a digest:
+ * requests end within a fraction of the interval between digests. Other zones receive them with each digest.
  */
 export interface ZoneLoads {
     /** Key of the aggregator, see `instanceKey`. */
     readonly aggregatorKey: number;
-    /** Sequence number of the digest to which the counts belong. */
+    /** Sequence number of the digest whose members `acknowledged` refers to. */
+    readonly digestSequence: number;
+    /** Increases with each message of the aggregator. */
     readonly sequence: number;
-    /** Requests in flight from the members of the digest. */
+    /** See `DigestMember`; in the order of the members of the digest. */
+    readonly acknowledged: Uint8Array;
+    /** Requests in flight from the members of the zone. */
     readonly inFlight: readonly DigestCount[];
-    /** Ordinary successes that were reported to this aggregator, and no other, since its previous loads. */
+    /** Ordinary successes that were reported to this aggregator since its previous loads for the same receivers. */
     readonly successes: readonly DigestCount[];
 }
 
--- a/packages/gateway/src/lib/fleet/distributor.ts
+++ b/packages/gateway/src/lib/fleet/distributor.ts
@@ -7,8 +7,23 @@
 import type { DatagramPort } from "./ports.js";
 import type { Member, Roster } from "./roster.js";
 
+/** A message that its receiver distributes in its zone. */
+const zoneDatagram = (message: Message): Datagram => ({ message, isForZone: true, forwardTo: [] });
+
+/**
+ * How much earlier than the others of its zone an instance may have been heard without counting as failed for the choice
+ * of those that forward; a heartbeat interval with jitter and some delay.
+ */
+const heardToleranceMs = 450;
+
+/** The instances of a zone that have been heard as recently as the others. */
+const recentlyHeard = (members: readonly Member[]): readonly Member[] => {
+    const newestMs = Math.max(...members.map(({ heardMs }) => heardMs));
+    return members.filter(({ heardMs }) => heardMs >= newestMs - heardToleranceMs);
+};
+
 /** Number of instances up to which a message goes directly to each of them. */
-const maxDirectTargets = 12;
+const maxDirectTargets = 16;
 /** A message goes to one of this many instances of another zone, selected at random, so a failed one loses a share. */
 const remoteTargetCount = aggregatorCount + 1;
 
@@ -37,12 +52,21 @@
 
     /** Sends a message to all other instances. */
     toFleet(message: Message): void {
+        this.toOtherZones(message);
+        this.toOwnZone(message);
+    }
+
+    /** Sends a message to all instances of the other zones. */
+    toOtherZones(message: Message): void {
         const { roster, self, datagrams } = this.#options;
-        const datagram: Datagram = { message, isForZone: true, forwardTo: [] };
         const remote = roster.known().filter(({ info }) => info.zone !== self.zone);
         const zones = [...groupBy(remote, ({ info }) => info.zone).values()];
-        datagrams.sendAll(zones.map(members => this.#remoteTarget(members)), datagram);
-        this.#toZone(datagram);
+        datagrams.sendAll(zones.map(members => this.#remoteTarget(members)), zoneDatagram(message));
+    }
+
+    /** Sends a message to the other instances of the own zone. */
+    toOwnZone(message: Message): void {
+        this.#toZone(zoneDatagram(message));
     }
 
     /** Forwards a received datagram as it demands. */
@@ -57,7 +81,7 @@
 
     #toZone(datagram: Datagram): void {
         const { datagrams } = this.#options;
-        const addresses = this.#shuffle(this.#zoneAddresses());
+        const addresses = this.#zoneAddresses();
         if (addresses.length <= maxDirectTargets) {
             datagrams.sendAll(addresses, { ...datagram, isForZone: false, forwardTo: [] });
             return;
@@ -70,30 +94,31 @@
         }
     }
 
-    /** Live instances of the own zone, and one that is not live, so that parts of a zone meet after a partition. */
-    #zoneAddresses(): string[] {
+    /**
+     * Live instances of the own zone in random order, those that may have failed last, as the first ones forward. One that
+     * is not live is added, so that parts of a zone meet after a partition.
+     */
+    #zoneAddresses(): readonly string[] {
         const { roster, self, random } = this.#options;
-        const members = roster.known().filter(({ info }) => info.zone === self.zone).map(({ info }) =>
-            info.peerAddress
-        );
-        const [live, down] = [
-            members.filter(address => roster.isLive(address)),
-            members.filter(address => !roster.isLive(address)),
-        ];
+        const members = roster.known().filter(({ info }) => info.zone === self.zone);
+        const live = this.#shuffle(members.filter(({ info }) => roster.isLive(info.peerAddress)));
+        const current = new Set(recentlyHeard(live));
+        const down = members.filter(({ info }) => !roster.isLive(info.peerAddress));
         const retried = down[Math.floor(random() * down.length)];
-        return retried === undefined ? live : [...live, retried];
+        const ordered = [...current, ...live.filter(member => !current.has(member))];
+        return [...ordered, ...(retried === undefined ? [] : [retried])].map(({ info }) => info.peerAddress);
     }
 
     /** An instance of another zone: one of its first-ranked live ones, or any that is known if none is live. */
     #remoteTarget(members: readonly Member[]): string {
         const { roster, random } = this.#options;
         const live = members.filter(({ info, isLeaving }) => !isLeaving && roster.isLive(info.peerAddress));
-        const ranked = rankAggregators(live.map(({ info }) => info)).slice(0, remoteTargetCount);
+        const ranked = rankAggregators(recentlyHeard(live).map(({ info }) => info)).slice(0, remoteTargetCount);
         const targets = ranked.length > 0 ? ranked : members.map(({ info }) => info);
         return targets[Math.floor(random() * targets.length)]!.peerAddress;
     }
 
-    #shuffle(items: string[]): string[] {
+    #shuffle<T>(items: T[]): T[] {
         for (let index = items.length - 1; index > 0; index--) {
             const other = Math.floor(this.#options.random() * (index + 1));
             [items[index], items[other]] = [items[other]!, items[index]!];
--- a/packages/gateway/src/lib/fleet/fleet-exchange.ts
+++ b/packages/gateway/src/lib/fleet/fleet-exchange.ts
@@ -6,10 +6,12 @@
 import { AggregatorSelector } from "./aggregator-selector.js";
 import { direct } from "./datagrams.js";
 import type { Datagram, HeartbeatPurpose, Message, UpstreamsMessage } from "./datagrams.js";
+import { digestIntervalOf } from "./digest-interval.js";
 import { DigestPublisher } from "./digest-publisher.js";
 import type { DigestCount, ZoneDigest, ZoneLoads } from "./digest.js";
 import { Discovery } from "./discovery.js";
 import { Distributor } from "./distributor.js";
+import { EarliestTimer } from "./earliest-timer.js";
 import { FleetView } from "./fleet-view.js";
 import { instanceInfo } from "./heartbeat.js";
 import type { CollectionState, Heartbeat } from "./heartbeat.js";
@@ -25,15 +27,17 @@
 const minUsageGapMs = 60;
 /** Minimum time from a heartbeat to one that only reports changed loads, in the smallest zones. */
 const minLoadGapMs = 100;
-/** Bounds of the interval between the digests of an aggregator. */
-const digestIntervalBoundsMs = { min: 300, max: 900 };
-/** Time added to the interval for each instance of the zone, so that large zones receive no more bytes than small ones. */
-const digestIntervalPerInstanceMs = 15;
 /** Age of an acknowledged heartbeat above which an aggregator counts as not receiving the heartbeats of this instance. */
 const maxAckAgeMs = 1_000;
 /** Heartbeat fields that other modules provide. */
 export type HeartbeatPayload = Omit<Heartbeat, keyof GatewayInstance | "sequence">;
 
+interface HeartbeatOptions {
+    readonly isUrgent: boolean;
+    /** Whether the second aggregator, which distributes loads and usage only as a stand-in, need not receive it. */
+    readonly isForFirstOnly: boolean;
+}
+
 /** Options of {@link FleetExchange}. */
 export interface FleetExchangeOptions {
     readonly self: GatewayInstance;
@@ -78,8 +82,12 @@
     /** Live instances of the own zone at the last tick. */
     #zoneSize = 0;
     #lastHeartbeatMs = -Infinity;
+    /** Time of the last heartbeat that was sent to both aggregators. */
+    #lastFullHeartbeatMs = -Infinity;
     #timer: Timer | undefined;
-    #earlyTimer: { readonly timer: Timer; readonly dueMs: number; isUrgent: boolean; } | undefined;
+    readonly #earlyHeartbeat: EarliestTimer;
+    /** Whether the next early heartbeat is urgent. */
+    #isUrgentDue = false;
     #isStopped = false;
 
     constructor(options: FleetExchangeOptions) {
@@ -94,6 +102,7 @@
             onDigest: digest => this.#applyDigest(digest),
             onLoads: loads => this.#applyLoads(loads),
         });
+        this.#earlyHeartbeat = new EarliestTimer(clock, () => this.#sendEarlyHeartbeat());
         this.#selector = new AggregatorSelector(clock, () => this.digestIntervalMs());
         this.#discovery = new Discovery({
             ...options,
@@ -110,14 +119,14 @@
 
     stop(): void {
         this.#isStopped = true;
-        [this.#timer, this.#earlyTimer?.timer].forEach(timer => timer?.cancel());
+        this.#timer?.cancel();
+        this.#earlyHeartbeat.cancel();
         this.#publisher.stop();
     }
 
     /** Interval between the digests of each aggregator; it grows with the zone. */
     digestIntervalMs(): number {
-        const { min, max } = digestIntervalBoundsMs;
-        return Math.min(max, Math.max(min, this.#zoneSize * digestIntervalPerInstanceMs));
+        return digestIntervalOf(this.#zoneSize);
     }
 
     /** Typical time from a change at an instance until all others count it. */
@@ -170,9 +179,9 @@
         }
         this.#zoneSize = this.#sameZoneMembers().length;
         const hasLostAggregator = this.#selector.hasLostAggregator();
-        // An early heartbeat shortly before replaces the periodic one.
-        if (hasLostAggregator || clock.monotonicMs() - this.#lastHeartbeatMs >= heartbeatIntervalMs / 2) {
-            this.#sendHeartbeat(hasLostAggregator);
+        // An early heartbeat to both aggregators shortly before replaces the periodic one.
+        if (hasLostAggregator || clock.monotonicMs() - this.#lastFullHeartbeatMs >= heartbeatIntervalMs / 2) {
+            this.#sendHeartbeat({ isUrgent: hasLostAggregator, isForFirstOnly: false });
         }
         this.#discovery.run();
         this.#discovery.requestIdentities();
@@ -194,33 +203,26 @@
     }
 
     #scheduleHeartbeat(minGapMs: number, isUrgent: boolean): void {
-        const { clock } = this.#options;
-        const nowMs = clock.monotonicMs();
-        const dueMs = Math.max(nowMs, this.#lastHeartbeatMs + minGapMs);
-        if (this.#isStopped) {
-            return;
-        }
-        if (this.#earlyTimer !== undefined) {
-            this.#earlyTimer.isUrgent ||= isUrgent;
-            if (this.#earlyTimer.dueMs <= dueMs) {
-                return;
-            }
-        }
-        this.#earlyTimer?.timer.cancel();
-        const timer = clock.after(dueMs - nowMs, () => {
-            const mustHurry = this.#earlyTimer?.isUrgent ?? isUrgent;
-            this.#earlyTimer = undefined;
-            this.#sendHeartbeat(mustHurry);
-        });
-        this.#earlyTimer = { timer, dueMs, isUrgent: isUrgent || (this.#earlyTimer?.isUrgent ?? false) };
+        this.#isUrgentDue ||= isUrgent;
+        this.#earlyHeartbeat.schedule(this.#lastHeartbeatMs + minGapMs);
     }
 
-    #sendHeartbeat(isUrgent: boolean): void {
+    #sendEarlyHeartbeat(): void {
+        const isUrgent = this.#isUrgentDue;
+        this.#isUrgentDue = false;
+        this.#sendHeartbeat({ isUrgent, isForFirstOnly: !isUrgent });
+    }
+
+    #sendHeartbeat({ isUrgent, isForFirstOnly }: HeartbeatOptions): void {
         const { datagrams, self, clock } = this.#options;
         this.#lastHeartbeatMs = clock.monotonicMs();
+        if (!isForFirstOnly) {
+            this.#lastFullHeartbeatMs = this.#lastHeartbeatMs;
+        }
         const heartbeat = this.#createHeartbeat();
+        const addresses = this.aggregatorAddresses().slice(0, isForFirstOnly ? 1 : undefined);
         // Each success is reported to one aggregator only, so that no two digests contain it.
-        for (const [index, address] of this.aggregatorAddresses().entries()) {
+        for (const [index, address] of addresses.entries()) {
             const sent = index === 0 ? heartbeat : { ...heartbeat, successes: [] };
             if (address === self.peerAddress) {
                 this.#publisher.recordReport(sent, isUrgent);
--- a/packages/gateway/src/lib/fleet/fleet-view.ts
+++ b/packages/gateway/src/lib/fleet/fleet-view.ts
@@ -22,11 +22,10 @@
     readonly own: Heartbeat | undefined;
     /** Latest loads of the aggregator, which may belong to an earlier digest. */
     loads: ReceivedLoads | undefined;
-    /** Sequence number of the last loads that were applied. */
-    appliedSequence?: number;
 }
 
 interface ReceivedLoads {
+    readonly sequence: number;
     readonly inFlight: readonly DigestCount[];
     /** See `ReceivedDigest`. */
     readonly own: Heartbeat | undefined;
@@ -117,21 +116,23 @@
 
     /** Applies loads once their digest has arrived, and returns the successes that they add. */
     applyLoads(loads: ZoneLoads): readonly DigestCount[] {
-        const { aggregatorKey, sequence, inFlight } = loads;
+        const { aggregatorKey, digestSequence, sequence, inFlight, acknowledged } = loads;
         const received = [...this.#zones.values()]
             .flatMap(({ byAggregator }) => byAggregator.get(aggregatorKey) ?? [])
             .at(0);
-        if (received === undefined || received.digest.sequence < sequence) {
+        if (received === undefined || received.digest.sequence < digestSequence) {
             this.#earlyLoads.set(aggregatorKey, loads);
             return [];
         }
-        // Datagrams may be repeated, and loads whose digest was lost cannot be told from those of another one.
-        if (received.digest.sequence !== sequence || received.appliedSequence === sequence) {
+        // Datagrams may be repeated or overtaken, and the acknowledgements refer to the members of one digest.
+        const isNew = received.loads === undefined || received.loads.sequence < sequence;
+        if (received.digest.sequence !== digestSequence || !isNew) {
             return [];
         }
-        const successes = this.#successesOfOthers(loads, received.own, received.loads?.own);
-        received.appliedSequence = sequence;
-        received.loads = { inFlight, own: received.own };
+        const ownIndex = received.digest.members.findIndex(({ key }) => key === this.#ownKey);
+        const own = ownIndex < 0 ? undefined : this.sent(acknowledged[ownIndex]);
+        const successes = this.#successesOfOthers(loads, own, received.loads?.own);
+        received.loads = { sequence, inFlight, own };
         this.#validUntilMs = -Infinity;
         return successes;
     }
--- a/packages/gateway/src/lib/fleet/zone-aggregator.ts
+++ b/packages/gateway/src/lib/fleet/zone-aggregator.ts
@@ -38,6 +38,9 @@
     crash: number;
 }
 
+/** Receivers of loads: the own zone receives them more often than the others. */
+export type LoadsReceivers = "zone" | "others";
+
 /** What the receipt of a heartbeat changed. */
 export interface HeartbeatEffect {
     /** Whether the instance is new, or its readiness has changed. */
@@ -74,7 +77,11 @@
     /** By peer address, so that a restarted process replaces the previous one. */
     readonly #reporters = new Map<string, Reporter>();
     readonly #received = new Map<string, Received>();
-    #successes = new Map<number, number>();
+    /** Ordinary successes that the own zone, and the other ones, have not received yet. */
+    readonly #successes: Record<LoadsReceivers, Map<number, number>> = { zone: new Map(), others: new Map() };
+    /** Peer addresses of the members of the latest digest, in its order. */
+    #digestMembers: readonly string[] = [];
+    #loadsSequence = 0;
     #outcomes: Queued<DistributedOutcome>[] = [];
     #crashes: Queued<DistributedCrash>[] = [];
     #sequence = 0;
@@ -104,7 +111,10 @@
         }
         this.#lastReceivedMs = nowMs;
         this.#reporters.set(heartbeat.peerAddress, { heartbeat, receivedMs: nowMs });
-        heartbeat.successes.forEach(({ upstream, count }) => add(this.#successes, nameKey(upstream), count));
+        heartbeat.successes.forEach(({ upstream, count }) => {
+            add(this.#successes.zone, nameKey(upstream), count);
+            add(this.#successes.others, nameKey(upstream), count);
+        });
         this.#queueOutcomes(heartbeat);
         const hasMemberChanged = isNew
             || previous === undefined
@@ -121,6 +131,7 @@
         this.#removeExpired(nowMs);
         const reporters = [...this.#reporters.values()];
         const current = this.#current(nowMs);
+        this.#digestMembers = current.map(({ heartbeat }) => heartbeat.peerAddress);
         const held = collections();
         return {
             aggregator: self,
@@ -140,16 +151,26 @@
         };
     }
 
-    /** Takes the loads that belong to the latest digest; undefined if a standby has nothing to report. */
-    takeLoads(isStandby: boolean): ZoneLoads | undefined {
+    /** Takes the loads for the own zone or the other ones; undefined if a standby has nothing to report. */
+    takeLoads(receivers: LoadsReceivers, isStandby: boolean): ZoneLoads | undefined {
         const { self, clock } = this.#options;
+        const successes = toCounts(this.#successes[receivers]);
+        this.#successes[receivers] = new Map();
+        if (isStandby && successes.length === 0) {
+            return undefined;
+        }
         const current = isStandby ? [] : this.#current(clock.monotonicMs());
-        const inFlight = sumCounts(current.map(({ heartbeat }) => heartbeat.inFlight));
-        const successes = toCounts(this.#successes);
-        this.#successes = new Map();
-        return isStandby && successes.length === 0
-            ? undefined
-            : { aggregatorKey: instanceKey(self.id), sequence: this.#sequence, inFlight, successes };
+        return {
+            aggregatorKey: instanceKey(self.id),
+            digestSequence: this.#sequence,
+            sequence: ++this.#loadsSequence,
+            acknowledged: Uint8Array.from(
+                this.#digestMembers,
+                address => (this.#reporters.get(address)?.heartbeat.sequence ?? 0) & 0xFF,
+            ),
+            inFlight: sumCounts(current.map(({ heartbeat }) => heartbeat.inFlight)),
+            successes,
+        };
     }
 
     /** Number of instances from which a heartbeat was received recently. */
