Place by the expected load, and reject by rank what a service has no room for

Cause: upstreams were chosen by loads that are older than a request lasts, as if they were current, so all instances sent to the few upstreams that had been idle. Change: the load of each zone fades towards the mean of the service with its age, measured in lower quartiles of the answer times. Requests that cannot be answered before their deadline are rejected at once without a promised return; beyond 2.6 requests per slot the least urgent ranks are rejected first; Retry-After follows rank and load, spread, within a third of the time left; requests are hedged only while the service has free slots.

--- /dev/null
+++ b/packages/gateway/src/lib/admission/admission.test.ts
@@ -0,0 +1,90 @@
+import { id } from "@sniperoad/core";
+import type { RouteId } from "@sniperoad/core";
+import { seededRandom, VirtualClock } from "@sniperoad/core/testing";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { knownUpstream } from "../testing/index.js";
+import { Admission } from "./admission.js";
+import type { AdmissionRequest } from "./admission.js";
+import { AnswerTimes } from "./answer-times.js";
+import { utilizationOf } from "./service-load.js";
+
+const route = id<RouteId>("r1");
+const request: AdmissionRequest = { route, targetLatencyMs: 600, priority: 1, leftMs: 3_000, utilization: 0.5 };
+
+const setUp = () => {
+    const clock = new VirtualClock();
+    const times = new AnswerTimes<RouteId>(clock);
+    const shareWithin = (of: RouteId, limitMs: number) => times.shareWithin(of, limitMs);
+    return { clock, times, admission: new Admission({ random: seededRandom(1), shareWithin }) };
+};
+
+// Guards against requests that take a slot, or wait until their deadline, although no answer can arrive before it.
+test("a request without hope is rejected at once, and no return is promised", () => {
+    const { times, admission } = setUp();
+    Array.from({ length: 100 }).forEach(() => times.record(route, 300));
+    assert.is(admission.decide({ ...request, leftMs: 350 }).kind, "admit");
+    const hopeless = admission.decide({ ...request, leftMs: 200 });
+    assert.is(hopeless.kind, "reject");
+    assert.is(hopeless.kind === "reject" && hopeless.retryAfterMs, undefined);
+});
+
+test("without known answer times only a fraction of the objective is hopeless", () => {
+    const { admission } = setUp();
+    assert.is(admission.decide({ ...request, leftMs: 70 }).kind, "admit");
+    assert.is(admission.decide({ ...request, leftMs: 50 }).kind, "reject");
+});
+
+// Guards against requests that all wait at the upstreams until all of them are late.
+test("less urgent requests are rejected first as the load grows, and the most urgent ones last", () => {
+    const { admission } = setUp();
+    const admitted = [0.9, 2.5, 2.8, 3.3, 3.8, 4.5].map(utilization =>
+        [0, 1, 2, 3].filter(priority => admission.decide({ ...request, utilization, priority }).kind === "admit")
+    );
+    assert.equal(admitted, [[0, 1, 2, 3], [0, 1, 2, 3], [0, 1, 2], [0, 1], [0], []]);
+});
+
+// Guards against callers that return all at once, in any order, or after their deadline.
+test("callers return in the order of their urgency, spread, and within a third of the time left", () => {
+    const { admission } = setUp();
+    const delays = (priority: number, leftMs = 3_000) =>
+        Array.from({ length: 200 }, () => admission.retryAfterMs({ ...request, priority, leftMs, utilization: 1 })!);
+    const means = [0, 1, 2].map(priority => delays(priority).reduce((sum, delay) => sum + delay, 0) / 200);
+    assert.ok(means[0]! < means[1]! && means[1]! < means[2]!, means.join(" "));
+    assert.ok(new Set(delays(1).map(delay => Math.round(delay / 20))).size > 5);
+    assert.ok(Math.max(...delays(2, 600)) <= 200);
+});
+
+// Guards against a promise to a caller whose time is over when it returns.
+test("no return is promised if too little time would be left", () => {
+    const { times, admission } = setUp();
+    Array.from({ length: 100 }).forEach(() => times.record(route, 300));
+    assert.is(admission.retryAfterMs({ ...request, leftMs: 310 }), undefined);
+    assert.ok(admission.retryAfterMs({ ...request, leftMs: 1_000 })! > 0);
+});
+
+test("answer times are forgotten", async () => {
+    const { clock, times } = setUp();
+    Array.from({ length: 100 }).forEach(() => times.record(route, 300));
+    await clock.advance(60_000);
+    assert.is(times.shareWithin(route, 1_000), undefined);
+    Array.from({ length: 40 }).forEach((_, index) => times.record(route, index < 10 ? 20 : 900));
+    assert.ok(Math.abs(times.shareWithin(route, 100)! - 0.25) < 0.03);
+});
+
+// Guards against room at upstreams that fail or cannot be reached.
+test("the utilization counts the slots of upstreams that serve requests", () => {
+    const clock = new VirtualClock();
+    const candidates = ["u1", "u2", "u3", "u4"].map(name => knownUpstream(name));
+    const slots = candidates[0]!.listed.slots;
+    const state = {
+        inFlight: () => slots,
+        grayProbability: (upstream: string) => upstream === "u1" ? 1 : 0,
+        isBackingOff: (upstream: string) => upstream === "u2",
+    };
+    assert.is(utilizationOf(candidates, state, clock), 1);
+    assert.is(utilizationOf(candidates, { ...state, inFlight: upstream => upstream === "u1" ? 99 : 0 }, clock), 0);
+    assert.is(utilizationOf([], state, clock), 0);
+});
+
+test.run();
--- /dev/null
+++ b/packages/gateway/src/lib/admission/service-load.ts
@@ -0,0 +1,45 @@
+/** Estimates how much room the upstreams of a service have. */
+import type { Clock, UpstreamId } from "@sniperoad/core";
+import type { KnownUpstream } from "../store/upstream-registry.js";
+
+/** Fraction of an upstream's slots that are counted while it warms up. */
+export const warmupSlotFraction = 0.5;
+
+/** What the room of an upstream depends on. */
+export interface UpstreamState {
+    /** Requests in flight to the upstream from all instances. */
+    readonly inFlight: (upstream: UpstreamId) => number;
+    /** Probability that it fails most of its requests, from 0 to 1. */
+    readonly grayProbability: (upstream: UpstreamId) => number;
+    /** Whether this instance cannot reach it at present. */
+    readonly isBackingOff: (upstream: UpstreamId) => boolean;
+}
+
+/**
+ * Slots of an upstream that serve requests in time.
+ *
+ * @example
+ * slotsOf(upstream, clock.monotonicMs());
+ */
+export const slotsOf = ({ listed, warmupEndMs }: KnownUpstream, nowMs: number): number =>
+    warmupEndMs > nowMs ? listed.slots * warmupSlotFraction : listed.slots;
+
+/**
+ * Requests in flight per slot over the upstreams of a service that serve requests: 1 means that all slots are in use,
+ * and more that requests wait at the upstreams. It answers for load that exceeds a service as a whole, which no choice
+ * among its upstreams can avoid. Returns 0 for a service without upstreams, which is refused for that reason.
+ *
+ * @example
+ * if (utilizationOf(candidates, state, clock) < 1) { hedge }
+ */
+export const utilizationOf = (candidates: readonly KnownUpstream[], state: UpstreamState, clock: Clock): number => {
+    const nowMs = clock.monotonicMs();
+    const reachable = candidates.filter(({ listed }) => !state.isBackingOff(listed.id));
+    let [slots, inFlight] = [0, 0];
+    for (const upstream of reachable) {
+        const healthyShare = 1 - state.grayProbability(upstream.listed.id);
+        slots += slotsOf(upstream, nowMs) * healthyShare;
+        inFlight += state.inFlight(upstream.listed.id) * healthyShare;
+    }
+    return slots > 0 ? inFlight / slots : 0;
+};
--- a/packages/gateway/src/lib/balance/balance.test.ts
+++ b/packages/gateway/src/lib/balance/balance.test.ts
@@ -15,6 +15,8 @@
 const u1 = id<UpstreamId>("u1");
 const u2 = id<UpstreamId>("u2");
 const noFloor = { pick: () => undefined };
+/** Lower quartile of the answer times in these tests. */
+const answerTimeMs = 100;
 
 const setUp = () => {
     const clock = new VirtualClock();
@@ -22,7 +24,10 @@
     const paths = new PathBackoff(clock);
     /** Requests in flight from other instances. */
     const remote = new Map<number, number>();
-    const load = new FleetLoad(() => {}, key => remote.get(key) ?? 0);
+    const load = new FleetLoad(() => {}, {
+        inFlight: key => remote.get(key) ?? 0,
+        loads: () => [{ atMs: clock.monotonicMs(), inFlight: remote }],
+    });
     const selector = new UpstreamSelector({
         zone: zoneA,
         clock,
@@ -36,7 +41,7 @@
     const shareOf = (upstream: UpstreamId, isRepeatable: boolean): number => {
         const selections = Array.from(
             { length: 500 },
-            () => selector.select({ candidates, tried: new Set(), isRepeatable })?.upstream.listed.id,
+            () => selector.select({ candidates, tried: new Set(), isRepeatable, answerTimeMs })?.upstream.listed.id,
         );
         return selections.filter(selected => selected === upstream).length / selections.length;
     };
@@ -69,9 +74,9 @@
     const { paths, shareOf, selector, candidates } = setUp();
     paths.recordFailure(u1);
     assert.is(shareOf(u1, false), 0);
-    const last = selector.select({ candidates, tried: new Set([u2]), isRepeatable: false });
+    const last = selector.select({ candidates, tried: new Set([u2]), isRepeatable: false, answerTimeMs });
     assert.is(last?.upstream.listed.id, u1);
-    assert.is(selector.select({ candidates, tried: new Set([u1, u2]), isRepeatable: false }), undefined);
+    assert.is(selector.select({ candidates, tried: new Set([u1, u2]), isRepeatable: false, answerTimeMs }), undefined);
 });
 
 const setUpFloor = () => {
@@ -87,7 +92,9 @@
         const uses: { readonly atMs: number; readonly upstream: UpstreamId; readonly isFailure: boolean; }[] = [];
         for (let request = 0; request < count; request++) {
             await clock.advance(25);
-            const upstream = selector.select({ candidates, tried: new Set(), isRepeatable: false })!.upstream.listed.id;
+            const upstream =
+                selector.select({ candidates, tried: new Set(), isRepeatable: false, answerTimeMs })!.upstream.listed
+                    .id;
             const isFailure = fails(upstream, request);
             uses.push({ atMs: clock.monotonicMs(), upstream, isFailure });
             floor.recordOutcome(upstream, isFailure ? "failure" : "success");
@@ -161,7 +168,8 @@
         await clock.advance(5);
         const own = instances[request % instances.length]!;
         const isRepeatable = random() < 0.2;
-        const upstream = own.selector.select({ candidates, tried: new Set(), isRepeatable })!.upstream.listed.id;
+        const upstream =
+            own.selector.select({ candidates, tried: new Set(), isRepeatable, answerTimeMs })!.upstream.listed.id;
         const isFailure = isGray(upstream) || request % 8 === 0;
         wasted += isGray(upstream) && !isRepeatable && request >= count - counted ? 1 : 0;
         const recordAt = ({ gray, floor }: typeof own): void => {
@@ -176,7 +184,7 @@
 });
 
 test("the load consists of local requests and those of the other instances", () => {
-    const load = new FleetLoad(() => {}, key => key === nameKey(u1) ? 1 : 0);
+    const load = new FleetLoad(() => {}, { inFlight: key => key === nameKey(u1) ? 1 : 0, loads: () => [] });
     const endRequest = load.beginRequest(u1);
     assert.is(load.inFlight(u1), 2);
     assert.equal(load.report(), [{ upstream: u1, count: 1 }]);
--- a/packages/gateway/src/lib/balance/upstream-selector.ts
+++ b/packages/gateway/src/lib/balance/upstream-selector.ts
@@ -1,5 +1,6 @@
 /** Selects the upstream of a request by health, load and zone. */
 import type { Clock, Random, UpstreamId, ZoneId } from "@sniperoad/core";
+import { slotsOf } from "../admission/service-load.js";
 import type { GrayFailureEstimator } from "../health/gray-failure-estimator.js";
 import type { PathBackoff } from "../health/path-backoff.js";
 import type { UpstreamFloor } from "../health/upstream-floor.js";
@@ -16,8 +17,6 @@
 const utilizationCost = 0.08;
 /** Cost of traffic to another zone: the price of about 7 KB, relative to the value of a request. */
 const crossZoneCost = 0.035;
-/** Fraction of an upstream's slots that are counted while it warms up. */
-const warmupSlotFraction = 0.5;
 /**
  * Temperature of the softmax selection. Instances have the same estimates and select at the same time, so if each took
  * the upstream with the lowest cost, all of them would take the same one.
@@ -42,6 +41,8 @@
     readonly tried: ReadonlySet<UpstreamId>;
     /** Whether the request may be retried at another upstream if this one fails. */
     readonly isRepeatable: boolean;
+    /** Lower quartile of the time from the dispatch of a request of the service to its answer. */
+    readonly answerTimeMs: number;
 }
 
 /** A selected upstream, with inputs of the selection for the log. */
@@ -66,14 +67,14 @@
     }
 
     /** Returns undefined if every candidate was tried. */
-    select({ candidates, tried, isRepeatable }: SelectionRequest): Selection | undefined {
+    select({ candidates, tried, isRepeatable, answerTimeMs }: SelectionRequest): Selection | undefined {
         const { paths, floor, gray, load } = this.#options;
         const untried = candidates.filter(({ listed }) => !tried.has(listed.id));
         const reachable = untried.filter(({ listed }) => !paths.isBackingOff(listed.id));
         // If all upstreams are in backoff, trying one is better than refusing the request.
         const pool = reachable.length > 0 ? reachable : untried;
         const upstream = floor.pick({ candidates: pool, isRepeatable, grayProbability: id => gray.probability(id) })
-            ?? this.#sample(pool, isRepeatable);
+            ?? this.#sample(pool, isRepeatable, answerTimeMs);
         if (upstream === undefined) {
             return undefined;
         }
@@ -85,18 +86,26 @@
         };
     }
 
-    #cost({ listed, warmupEndMs }: KnownUpstream, isRepeatable: boolean): number {
-        const { gray, load, zone, clock } = this.#options;
-        const slots = warmupEndMs > clock.monotonicMs() ? listed.slots * warmupSlotFraction : listed.slots;
-        const utilization = load.inFlight(listed.id) / Math.max(1, slots);
+    #cost(upstream: KnownUpstream, inFlight: number, isRepeatable: boolean): number {
+        const { gray, zone, clock } = this.#options;
+        const { listed } = upstream;
+        const slots = slotsOf(upstream, clock.monotonicMs());
+        const utilization = inFlight / Math.max(1, slots);
         return gray.probability(listed.id) * (isRepeatable ? repeatableFailureCost : failureCost)
             + Math.min(1, utilization) * utilizationCost
             + Math.max(0, utilization + 1 / Math.max(1, slots) - 1) * queueCost
             + (listed.zone === zone ? 0 : crossZoneCost);
     }
 
-    #sample(pool: readonly KnownUpstream[], isRepeatable: boolean): KnownUpstream | undefined {
-        const index = this.#sampleIndex(pool.map(upstream => this.#cost(upstream, isRepeatable)));
+    #sample(
+        pool: readonly KnownUpstream[],
+        isRepeatable: boolean,
+        answerTimeMs: number,
+    ): KnownUpstream | undefined {
+        const { load, clock } = this.#options;
+        const inFlight = load.expected(pool.map(({ listed }) => listed), clock.monotonicMs(), answerTimeMs);
+        const costs = pool.map((upstream, index) => this.#cost(upstream, inFlight[index]!, isRepeatable));
+        const index = this.#sampleIndex(costs);
         return index === undefined ? undefined : pool[index];
     }
 
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -1,7 +1,11 @@
 /** Creates the components of an instance and connects them. */
-import type { Clock, LogPort, Random, Sha256, UpstreamId, ZoneId } from "@sniperoad/core";
+import type { Clock, LogPort, Random, RouteId, ServiceId, Sha256, UpstreamId, ZoneId } from "@sniperoad/core";
 import { splitAddress, TcpPeers } from "@sniperoad/daemon";
+import { Admission } from "./admission/admission.js";
+import { AnswerTimes } from "./admission/answer-times.js";
+import { utilizationOf } from "./admission/service-load.js";
 import { FleetLoad } from "./balance/fleet-load.js";
+import type { RemoteLoads } from "./balance/fleet-load.js";
 import { RetryBudget } from "./balance/retry-budget.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { DirectoryResponse } from "./fleet/directory.js";
@@ -106,7 +110,7 @@
         ownKey: instanceKey(self.id),
         announce,
         onLoad: () => exchange.sendLoadsSoon(),
-        remoteInFlight: key => exchange.view.inFlight(key),
+        remoteLoads: { inFlight: key => exchange.view.inFlight(key), loads: () => exchange.view.loads() },
         remoteRates: remoteRatesOf(() => exchange),
     });
     const { outcomes, crashes, rates, load } = evidence;
@@ -181,7 +185,7 @@
 const createEvidence = (
     { clock, random, settings }: GatewayOptions,
     upstreams: UpstreamRegistry,
-    { ownKey, announce, onLoad, remoteInFlight, remoteRates }: EvidenceSetup,
+    { ownKey, announce, onLoad, remoteLoads, remoteRates }: EvidenceSetup,
 ): Evidence => {
     const gray = new GrayFailureEstimator(clock);
     const serviceOf = (upstream: UpstreamId) => upstreams.get(upstream)?.listed.service;
@@ -190,7 +194,7 @@
     return {
         gray,
         floor,
-        load: new FleetLoad(onLoad, remoteInFlight),
+        load: new FleetLoad(onLoad, remoteLoads),
         rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
         outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce }),
         crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
@@ -204,7 +208,7 @@
     readonly announce: () => void;
     /** Called when the requests in flight change. */
     readonly onLoad: () => void;
-    readonly remoteInFlight: (key: number) => number;
+    readonly remoteLoads: RemoteLoads;
     readonly remoteRates: RemoteRates;
 }
 
@@ -231,6 +235,18 @@
     const { clock, random, log, sha256, headers, settings } = options;
     const { roster, upstreams, gray, load, outcomes, crashes, state, config, rates, floor } = fleet;
     const paths = new PathBackoff(clock);
+    const answerTimes = new AnswerTimes<RouteId>(clock);
+    const serviceTimes = new AnswerTimes<ServiceId>(clock);
+    const admission = new Admission({
+        random,
+        shareWithin: (route, limitMs) => answerTimes.shareWithin(route, limitMs),
+    });
+    const utilization = (service: ServiceId): number =>
+        utilizationOf(upstreams.forService(service), {
+            inFlight: upstream => load.inFlight(upstream),
+            grayProbability: upstream => gray.probability(upstream),
+            isBackingOff: upstream => paths.isBackingOff(upstream),
+        }, clock);
     const retryBudget = new RetryBudget(clock, () => {
         const { retryShare, retryBurst, retryWindowSeconds } = settings();
         return { share: retryShare, burst: retryBurst, windowMs: retryWindowSeconds * 1_000 };
@@ -248,6 +264,13 @@
         retryBudget,
         candidates: service => upstreams.forService(service),
         crashes,
+        hasHope: ({ id, targetLatencyMs }, leftMs) => admission.hasHope({ route: id, targetLatencyMs }, leftMs),
+        hasRoom: service => utilization(service) < 1,
+        answerTimeMs: service => serviceTimes.quantile(service, 0.25),
+        onAnswer: ({ route, service }, tookMs) => {
+            answerTimes.record(route.id, tookMs);
+            serviceTimes.record(service, tookMs);
+        },
     });
     const handler = new RequestHandler({
         clock,
@@ -259,6 +282,8 @@
         retryBudget,
         crashes,
         dispatcher,
+        admission,
+        utilization,
         codec: headers,
         isInitialized: () => state.isComplete,
         fleetSize: () => ({ live: roster.live().length + 1, known: roster.known().length + 1 }),
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -2,6 +2,7 @@
 import { id, problemAnswer } from "@sniperoad/core";
 import type { Clock, HttpResponse, LogPort, Random, Refusal, RequestId, ServiceId, Sha256 } from "@sniperoad/core";
 import { match } from "ts-pattern";
+import type { Admission, AdmissionRequest } from "../admission/admission.js";
 import type { RetryBudget } from "../balance/retry-budget.js";
 import type { DecodedRequest, GatewayOrganisation, GatewayRoute } from "../model.js";
 import type { FleetRateLimiter, FleetSize } from "../rates/fleet-rate-limiter.js";
@@ -18,7 +19,7 @@
 const startupWaitFraction = 0.3;
 /** Interval at which a waiting request checks whether the process is initialized. */
 const startupPollMs = 20;
-/** Retry delay of refusals with a temporary cause; crash suspects have their own. */
+/** Retry delay while the instance has no current configuration; refusals for load have their own. */
 const retryAfterMs = 250;
 
 /** Options of {@link RequestHandler}. */
@@ -32,6 +33,9 @@
     readonly retryBudget: RetryBudget;
     readonly crashes: CrashTracker;
     readonly dispatcher: UpstreamDispatcher;
+    readonly admission: Admission;
+    /** See `utilizationOf`. */
+    readonly utilization: (service: ServiceId) => number;
     readonly codec: Pick<HeaderCodec, "refusalHeaders">;
     /** Whether a configuration and a list of upstreams are loaded. */
     readonly isInitialized: () => boolean;
@@ -125,12 +129,17 @@
         route: GatewayRoute,
         organisation: GatewayOrganisation | undefined,
     ): Promise<HandlingResult> {
-        const { rates, retryBudget, crashes, dispatcher, fleetSize } = this.#options;
+        const { rates, retryBudget, crashes, dispatcher, fleetSize, admission } = this.#options;
         const { request, receivedMs, signal } = received;
         const fingerprint = this.#fingerprint(request, body, organisation);
         if (crashes.isSuspect(fingerprint)) {
             return this.#refusal({ type: "crash-suspect", retryAfterMs: crashes.suspectMs });
         }
+        const service = this.#pickService(route);
+        // `request.deadlineMs` is a duration from the time at which the headers were read.
+        const availableMs = (request.deadlineMs ?? defaultDeadlineMs) - responseMarginMs;
+        const deadlineAtMs = receivedMs + Math.min(availableMs, route.timeoutMs);
+        const load = this.#loadOf(route, service, organisation, deadlineAtMs);
         if (organisation !== undefined) {
             rates.recordOffered(organisation.id);
             const size = fleetSize();
@@ -138,13 +147,18 @@
             if (!isAdmitted) {
                 const detail = `${organisation.id} has ${Math.round(counted)} of ${Math.round(limit)} in the window, `
                     + `${size.live} of ${size.known} instances heard.`;
-                return this.#refusal({ type: "over-rate", detail, retryAfterMs });
+                return this.#refusal({ type: "over-rate", detail, retryAfterMs: admission.retryAfterMs(load) });
             }
         }
-        const service = this.#pickService(route);
+        const decision = admission.decide(load);
+        if (decision.kind === "reject") {
+            return this.#refusal({
+                type: "queue-full",
+                detail: `${decision.reason}.`,
+                retryAfterMs: decision.retryAfterMs,
+            });
+        }
         retryBudget.recordRequest(service, fleetSize().known);
-        // `request.deadlineMs` is a duration from the time at which the headers were read.
-        const availableMs = (request.deadlineMs ?? defaultDeadlineMs) - responseMarginMs;
         const dispatched: DispatchedRequest = {
             request,
             body,
@@ -152,10 +166,32 @@
             service,
             organisation: organisation?.id,
             fingerprint,
-            deadlineAtMs: receivedMs + Math.min(availableMs, route.timeoutMs),
+            deadlineAtMs,
             signal,
         };
-        return { kind: "dispatched", dispatched, result: await dispatcher.run(dispatched) };
+        const result = await dispatcher.run(dispatched);
+        return result.kind === "not-run"
+            ? this.#refusal({
+                type: "no-upstream",
+                detail: `${result.reason}.`,
+                retryAfterMs: admission.retryAfterMs(this.#loadOf(route, service, organisation, deadlineAtMs)),
+            })
+            : { kind: "dispatched", dispatched, result };
+    }
+
+    #loadOf(
+        route: GatewayRoute,
+        service: ServiceId,
+        organisation: GatewayOrganisation | undefined,
+        deadlineAtMs: number,
+    ): AdmissionRequest {
+        return {
+            route: route.id,
+            targetLatencyMs: route.targetLatencyMs,
+            priority: organisation?.priority ?? route.priority,
+            leftMs: deadlineAtMs - this.#options.clock.monotonicMs(),
+            utilization: this.#options.utilization(service),
+        };
     }
 
     /** Picks a service at random, in proportion to the weights. */
@@ -184,14 +220,6 @@
         }
         return match(result.result)
             .with({ kind: "answer" }, ({ answer }): CallerResponse => answer)
-            .with(
-                { kind: "not-run" },
-                ({ reason }) =>
-                    this.#problemResponse(
-                        { type: "no-upstream", outcome: "not-run", detail: `${reason}.`, retryAfterMs },
-                        request,
-                    ),
-            )
             .with(
                 { kind: "invalid" },
                 ({ reason }) =>
@@ -246,6 +274,9 @@
 
 type HandlingResult =
     | { readonly kind: "refused"; readonly refusal: Refusal; }
-    | { readonly kind: "dispatched"; readonly dispatched: DispatchedRequest; readonly result: DispatchResult; };
+    | { readonly kind: "dispatched"; readonly dispatched: DispatchedRequest; readonly result: FinalResult; };
+
+/** Results that are no refusals. */
+type FinalResult = Exclude<DispatchResult, { readonly kind: "not-run"; }>;
 
-const reasonOfResult = (result: DispatchResult): string | undefined => "reason" in result ? result.reason : undefined;
+const reasonOfResult = (result: FinalResult): string | undefined => "reason" in result ? result.reason : undefined;
--- a/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
@@ -87,6 +87,10 @@
         retryBudget,
         candidates: () => ["u1", "u2", "u3"].map(name => knownUpstream(name)),
         crashes,
+        hasHope: (_route, leftMs) => leftMs > 0,
+        hasRoom: () => true,
+        answerTimeMs: () => undefined,
+        onAnswer: () => {},
     });
     const caller = new AbortController();
     const dispatched: DispatchedRequest = {
--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -18,6 +18,8 @@
  */
 const hedgeDelayFraction = 0.55;
 
+/** Fraction of the target latency that a quarter of the answers take, as long as it is not known. */
+const assumedAnswerFraction = 0.15;
 /** Fraction of the target latency after which an upstream that has not responded counts as silent. */
 const silenceFraction = 1;
 /** Number of failed connections after which a request is not retried. They are not attempts, as nothing was sent. */
@@ -37,6 +39,14 @@
     readonly retryBudget: RetryBudget;
     readonly candidates: (service: ServiceId) => readonly KnownUpstream[];
     readonly crashes: CrashTracker;
+    /** Whether an answer is possible within a time. */
+    readonly hasHope: (route: GatewayRoute, leftMs: number) => boolean;
+    /** Whether the service has free slots, so that a hedged request takes none from others. */
+    readonly hasRoom: (service: ServiceId) => boolean;
+    /** Lower quartile of the answer times of a service; undefined if it is not known. */
+    readonly answerTimeMs: (service: ServiceId) => number | undefined;
+    /** Called with the time of each successful attempt. */
+    readonly onAnswer: (dispatched: DispatchedRequest, tookMs: number) => void;
 }
 
 /** A request to send to an upstream of a service. */
@@ -126,7 +136,8 @@
                 this.#startAttempt(progress, selection, signal, running);
             }
             const isHedgeDue = await this.#waitForAttempt(progress, running);
-            if (isHedgeDue && running.size > 0 && this.#mayStartAttempt(progress)) {
+            const mayHedge = isHedgeDue && running.size > 0 && this.#options.hasRoom(progress.dispatched.service);
+            if (mayHedge && this.#mayStartAttempt(progress)) {
                 const selection = this.#select(progress);
                 if (selection !== undefined) {
                     this.#options.log.event("request-hedged", { request: progress.dispatched.request.requestId });
@@ -154,8 +165,8 @@
 
     /** Whether another attempt may start. If it is a retry or a hedge, this takes it from the retry budget. */
     #mayStartAttempt({ dispatched, sent, failedConnections, mayHaveRun }: Progress): boolean {
-        const { retryBudget, clock } = this.#options;
-        const isUseful = clock.monotonicMs() < dispatched.deadlineAtMs
+        const { retryBudget, clock, hasHope } = this.#options;
+        const isUseful = hasHope(dispatched.route, dispatched.deadlineAtMs - clock.monotonicMs())
             && !dispatched.signal.aborted
             && failedConnections < maxFailedConnections;
         if (sent === 0) {
@@ -176,6 +187,8 @@
             isRepeatable: dispatched.route.isIdempotent
                 && tried.size + 1 < dispatched.route.maxAttempts
                 && this.#options.retryBudget.hasCredit(dispatched.service),
+            answerTimeMs: this.#options.answerTimeMs(dispatched.service)
+                ?? dispatched.route.targetLatencyMs * assumedAnswerFraction,
         });
     }
 
@@ -223,6 +236,9 @@
             progress.failedConnections++;
         }
         const outcome = this.#evaluate(result, dispatched, listed);
+        if (outcome.kind === "answer" && !outcome.isFailure) {
+            this.#options.onAnswer(dispatched, clock.monotonicMs() - startMs);
+        }
         this.#logAttempt(progress, selection, result, clock.monotonicMs() - startMs);
         progress.mayHaveRun ||= outcome.kind !== "not-run" && outcome.kind !== "invalid";
         // A result that the caller can use is not replaced by a later failure.
