Let callers return soon while a service has room

Change: below 0.9 requests per slot callers may return after about 50 ms; an organisation beyond its rate after 600 ms, as its window must move on; keys of instances are passed on instead of looked up for each member of a digest. Result: test of the delays.

--- a/packages/gateway/src/lib/admission/admission.test.ts
+++ b/packages/gateway/src/lib/admission/admission.test.ts
@@ -44,6 +44,13 @@
     assert.equal(admitted, [[0, 1, 2, 3], [0, 1, 2, 3], [0, 1, 2], [0, 1], [0], []]);
 });
 
+// Guards against callers that wait in vain for upstreams that refuse requests without being full.
+test("callers return soon while the service has room", () => {
+    const { admission } = setUp();
+    const delays = [0, 1, 2].map(priority => admission.retryAfterMs({ ...request, priority, utilization: 0.4 })!);
+    assert.ok(delays.every(delay => delay > 0 && delay < 100), delays.join(" "));
+});
+
 // Guards against callers that return all at once, in any order, or after their deadline.
 test("callers return in the order of their urgency, spread, and within a third of the time left", () => {
     const { admission } = setUp();
--- a/packages/gateway/src/lib/admission/admission.ts
+++ b/packages/gateway/src/lib/admission/admission.ts
@@ -12,8 +12,14 @@
 const rankUtilization = 0.5;
 /** Number of ranks that are told apart. */
 const maxRank = 3;
-/** Retry delay of the most urgent rank while the service has room. */
+/** Utilization below which a service has room: its upstreams refuse requests for other reasons than their load. */
+const roomUtilization = 0.9;
+/** Retry delay while the service has room. */
+const soonRetryMs = 50;
+/** Retry delay of the most urgent rank at a service without room. */
 const baseRetryMs = 150;
+/** Retry delay of an organisation that has used up its rate; the window must move on before it has room. */
+const rateRetryMs = 600;
 /** Added to the retry delay for each less urgent rank, so that callers return in the order of their urgency. */
 const rankRetryMs = 100;
 /** Range of the random factor of a retry delay, so that callers do not return all at once. */
@@ -87,14 +93,26 @@
         return share === undefined ? leftMs > targetLatencyMs * minLeftShare : share >= minAnswerShare;
     }
 
-    /** When the caller of a rejected request may return; undefined if that would be in vain. */
+    /** When the caller of a request that was refused may return; undefined if that would be in vain. */
     retryAfterMs(request: AdmissionRequest): number | undefined {
-        const { priority, utilization, leftMs } = request;
+        const { priority, utilization } = request;
         const rank = Math.min(maxRank, Math.max(0, priority));
+        const wantedMs = utilization < roomUtilization
+            ? soonRetryMs
+            : (baseRetryMs + rank * rankRetryMs) * Math.max(1, utilization);
+        return this.#spreadRetry(request, wantedMs);
+    }
+
+    /** When the caller of a request beyond its organisation's rate may return; undefined if that would be in vain. */
+    rateRetryAfterMs(request: AdmissionRequest): number | undefined {
+        return this.#spreadRetry(request, rateRetryMs);
+    }
+
+    #spreadRetry(request: AdmissionRequest, wantedMs: number): number | undefined {
         const { min, max } = retrySpread;
+        const { leftMs } = request;
         const spread = min + (max - min) * this.#options.random();
-        const wantedMs = (baseRetryMs + rank * rankRetryMs) * Math.max(1, utilization) * spread;
-        const delayMs = Math.min(wantedMs, leftMs * maxRetryShare);
+        const delayMs = Math.min(wantedMs * spread, leftMs * maxRetryShare);
         return this.hasHope(request, leftMs - delayMs) ? delayMs : undefined;
     }
 }
--- a/packages/gateway/src/lib/fleet/fleet-exchange.ts
+++ b/packages/gateway/src/lib/fleet/fleet-exchange.ts
@@ -279,7 +279,7 @@
         const wasLive = roster.isLive(heartbeat.peerAddress);
         const key = instanceKey(heartbeat.id);
         roster.learn(instanceInfo(heartbeat));
-        this.#rosterUpdater.recordHeard(instanceInfo(heartbeat), heartbeat, 0);
+        this.#rosterUpdater.recordHeard(key, instanceInfo(heartbeat), heartbeat, 0);
         for (const collection of ["config", "upstreams"] as const) {
             const { revision, confirmedAgeMs, isReading, readAgeMs } = heartbeat[collection];
             roster.recordRevision(key, collection, revision);
@@ -317,7 +317,7 @@
             }
             const info = roster.identityOf(member.key);
             if (info !== undefined) {
-                this.#rosterUpdater.recordHeard(info, member, member.ageMs);
+                this.#rosterUpdater.recordHeard(member.key, info, member, member.ageMs);
             }
             else {
                 this.#discovery.recordUnidentified(member.key, aggregator);
--- a/packages/gateway/src/lib/fleet/roster-updater.ts
+++ b/packages/gateway/src/lib/fleet/roster-updater.ts
@@ -1,7 +1,6 @@
 /** Applies what heartbeats and digests state about instances to the roster. */
 import type { LogPort } from "@sniperoad/core";
 import type { GatewayInstance } from "../model.js";
-import { instanceKey } from "../name-key.js";
 import type { SharedCollection } from "../store/state-exchange.js";
 import type { ZoneDigest } from "./digest.js";
 import type { FleetExchangeOptions } from "./fleet-exchange.js";
@@ -11,7 +10,7 @@
  * Records which instances are live, what they hold and which of them read from the store.
  *
  * @example
- * updater.recordHeard(info, heartbeat, 0);
+ * updater.recordHeard(key, info, heartbeat, 0);
  */
 export class RosterUpdater {
     readonly #roster: Roster;
@@ -24,10 +23,10 @@
         this.#onRevision = onRevision;
     }
 
-    /** Records that an instance was heard `ageMs` ago. */
-    recordHeard(info: GatewayInstance, state: MemberState, ageMs: number): void {
+    /** Records that an instance was heard `ageMs` ago; `key`: see `instanceKey`. */
+    recordHeard(key: number, info: GatewayInstance, state: MemberState, ageMs: number): void {
         const wasLive = this.#roster.isLive(info.peerAddress);
-        this.#roster.recordHeard(instanceKey(info.id), state, ageMs);
+        this.#roster.recordHeard(key, state, ageMs);
         if (!wasLive && this.#roster.isLive(info.peerAddress)) {
             const heard = this.#roster.live().length;
             this.#log.event("instance-heard", { peer: info.id, zone: info.zone, heard });
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -147,7 +147,7 @@
             if (!isAdmitted) {
                 const detail = `${organisation.id} has ${Math.round(counted)} of ${Math.round(limit)} in the window, `
                     + `${size.live} of ${size.known} instances heard.`;
-                return this.#refusal({ type: "over-rate", detail, retryAfterMs: admission.retryAfterMs(load) });
+                return this.#refusal({ type: "over-rate", detail, retryAfterMs: admission.rateRetryAfterMs(load) });
             }
         }
         const decision = admission.decide(load);
