Leave scarce extra attempts to more urgent requests

Change: each rank leaves 0.12 of an instance's allowance to each more urgent one, 0.36 at most. Result: test of the shares (14, 2 and 3 of 19 for ranks 2, 1 and 0 that ask in this order).

--- a/packages/gateway/src/lib/balance/balance.test.ts
+++ b/packages/gateway/src/lib/balance/balance.test.ts
@@ -203,9 +203,27 @@
         budget.recordRequest(reportsService, 293);
         await clock.advance(500);
     }
-    assert.equal([1, 2, 3, 4].map(() => budget.tryAcquire(reportsService)), [true, true, true, false]);
+    assert.equal([1, 2, 3, 4].map(() => budget.tryAcquire(reportsService, 0)), [true, true, true, false]);
     await clock.advance(11_000);
-    assert.is(budget.tryAcquire(reportsService), false);
+    assert.is(budget.tryAcquire(reportsService, 0), false);
+});
+
+// Guards against extra attempts that are used up by the least urgent requests while all upstreams refuse some.
+test("the last extra attempts are left for more urgent requests", async () => {
+    const clock = new VirtualClock();
+    const budget = new RetryBudget(clock, fleetBudget);
+    for (let request = 0; request < 100; request++) {
+        budget.recordRequest(reportsService, 44);
+        await clock.advance(50);
+    }
+    const taken = [2, 1, 0].map(rank => {
+        let count = 0;
+        while (budget.tryAcquire(reportsService, rank)) {
+            count++;
+        }
+        return count;
+    });
+    assert.equal(taken, [14, 2, 3]);
 });
 
 // Guards against a retry storm when a whole service fails: 0.2 of the requests and 62 in 10 s over the fleet.
@@ -223,7 +241,7 @@
             const budget = budgets[Math.floor(random() * 44)]!;
             budget.recordRequest(reportsService, 44);
             requestsAtMs.push(nowMs);
-            if (nowMs > 10_000 && budget.tryAcquire(reportsService)) {
+            if (nowMs > 10_000 && budget.tryAcquire(reportsService, 0)) {
                 retriesAtMs.push(nowMs);
             }
         }
--- a/packages/gateway/src/lib/balance/retry-budget.ts
+++ b/packages/gateway/src/lib/balance/retry-budget.ts
@@ -16,6 +16,10 @@
 const usedShareFraction = 0.9;
 /** Fraction of the burst that instances may use; the rest covers newly started instances. */
 const usedBurstFraction = 0.8;
+/** Part of the allowance that a request leaves for each more urgent rank, which matters while extra attempts are scarce. */
+const reservedShare = 0.12;
+/** Largest part that is left for more urgent ranks, so that no rank is starved of extra attempts. */
+const maxReservedShare = 0.36;
 /** Time from the start for which the part of the burst is not available, since many instances may start at once. */
 const burstDelayMs = 1_000;
 
@@ -32,7 +36,7 @@
  *
  * @example
  * budget.recordRequest(service, knownInstances);
- * if (budget.tryAcquire(service)) { retry }
+ * if (budget.tryAcquire(service, rank)) { retry }
  */
 export class RetryBudget {
     readonly #clock: Clock;
@@ -53,18 +57,20 @@
         this.#account(service).requests.add(1);
     }
 
-    /** Whether an extra attempt is available. */
-    hasCredit(service: ServiceId): boolean {
+    /** Whether an extra attempt is available to a request of a rank; 0 is the most urgent one. */
+    hasCredit(service: ServiceId, rank: number): boolean {
         const { requests, retries } = this.#account(service);
         const { share, burst } = this.#options();
         const hasBurst = this.#clock.monotonicMs() - this.#startedMs >= burstDelayMs;
         const burstPart = hasBurst ? burst * usedBurstFraction / this.#instanceCount : 0;
-        return retries.total() + 1 <= requests.total() * share * usedShareFraction + burstPart;
+        const allowance = requests.total() * share * usedShareFraction + burstPart;
+        const reserved = allowance * Math.min(maxReservedShare, Math.max(0, rank) * reservedShare);
+        return retries.total() + 1 <= allowance - reserved;
     }
 
-    /** Takes one extra attempt; returns false if none is available. */
-    tryAcquire(service: ServiceId): boolean {
-        if (!this.hasCredit(service)) {
+    /** Takes one extra attempt for a request of a rank; returns false if none is available. */
+    tryAcquire(service: ServiceId, rank: number): boolean {
+        if (!this.hasCredit(service, rank)) {
             return false;
         }
         this.#account(service).retries.add(1);
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -8,8 +8,9 @@
 import type { FleetRateLimiter, FleetSize } from "../rates/fleet-rate-limiter.js";
 import type { CurrentConfig, IndexedConfig } from "../routing/current-config.js";
 import type { CrashTracker } from "./crash-tracker.js";
+import type { DispatchedRequest, DispatchResult } from "./dispatch.js";
 import type { CallerResponse, HeaderCodec } from "./ports.js";
-import type { DispatchedRequest, DispatchResult, UpstreamDispatcher } from "./upstream-dispatcher.js";
+import type { UpstreamDispatcher } from "./upstream-dispatcher.js";
 
 /** Deadline of requests that carry none. */
 const defaultDeadlineMs = 30_000;
@@ -166,6 +167,7 @@
             service,
             organisation: organisation?.id,
             fingerprint,
+            rank: load.priority,
             deadlineAtMs,
             signal,
         };
--- a/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
@@ -12,9 +12,9 @@
 import type { ResponseMetadata } from "../model.js";
 import { knownUpstream, reportsService, testRoute, zoneA } from "../testing/index.js";
 import { CrashTracker } from "./crash-tracker.js";
+import type { DispatchedRequest } from "./dispatch.js";
 import type { UpstreamRequest, UpstreamResult } from "./ports.js";
 import { UpstreamDispatcher } from "./upstream-dispatcher.js";
-import type { DispatchedRequest } from "./upstream-dispatcher.js";
 
 const metadata: ResponseMetadata = {
     requestId: undefined,
@@ -108,6 +108,7 @@
         service: reportsService,
         organisation: id<OrganisationId>("org-1"),
         fingerprint: "f1",
+        rank: 0,
         deadlineAtMs: 1_000,
         signal: caller.signal,
     };
--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -1,5 +1,5 @@
 /** Sends a request to upstreams, with retries and hedging where they are allowed. */
-import type { Clock, LogPort, OrganisationId, ServiceId, Timer, UpstreamId } from "@sniperoad/core";
+import type { Clock, LogPort, ServiceId, Timer, UpstreamId } from "@sniperoad/core";
 import { match } from "ts-pattern";
 import type { FleetLoad } from "../balance/fleet-load.js";
 import type { RetryBudget } from "../balance/retry-budget.js";
@@ -7,9 +7,10 @@
 import type { PathBackoff } from "../health/path-backoff.js";
 import type { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { UpstreamFloor } from "../health/upstream-floor.js";
-import type { DecodedRequest, GatewayRoute, ListedUpstream } from "../model.js";
+import type { GatewayRoute, ListedUpstream } from "../model.js";
 import type { KnownUpstream } from "../store/upstream-registry.js";
 import type { CrashTracker } from "./crash-tracker.js";
+import type { DispatchedRequest, DispatchResult } from "./dispatch.js";
 import type { HeaderCodec, UpstreamClient, UpstreamResponse, UpstreamResult } from "./ports.js";
 
 /**
@@ -49,32 +50,6 @@
     readonly onAnswer: (dispatched: DispatchedRequest, tookMs: number) => void;
 }
 
-/** A request to send to an upstream of a service. */
-export interface DispatchedRequest {
-    readonly request: DecodedRequest;
-    readonly body: Uint8Array;
-    readonly route: GatewayRoute;
-    readonly service: ServiceId;
-    readonly organisation: OrganisationId | undefined;
-    readonly fingerprint: string;
-    /** Monotonic time by which the caller must have its response. */
-    readonly deadlineAtMs: number;
-    /** Aborted when the caller disconnects. */
-    readonly signal: AbortSignal;
-}
-
-/** Result of a dispatched request. */
-export type DispatchResult =
-    /** `isFailure`: the upstream itself responded with a server error. */
-    | { readonly kind: "answer"; readonly answer: UpstreamResponse; readonly isFailure: boolean; }
-    /** No upstream has run the request, and none will. */
-    | { readonly kind: "not-run"; readonly reason: string; }
-    /** No upstream can be sent the request as it is. */
-    | { readonly kind: "invalid"; readonly reason: string; }
-    /** An upstream may have run the request, or may still run it. */
-    | { readonly kind: "unknown"; readonly reason: string; readonly isTimeout: boolean; }
-    | { readonly kind: "cancelled"; };
-
 interface Progress {
     readonly dispatched: DispatchedRequest;
     readonly tried: Set<UpstreamId>;
@@ -175,7 +150,7 @@
         return isUseful
             && sent < dispatched.route.maxAttempts
             && (dispatched.route.isIdempotent || !mayHaveRun)
-            && retryBudget.tryAcquire(dispatched.service);
+            && retryBudget.tryAcquire(dispatched.service, dispatched.rank);
     }
 
     /** Selects the upstream of the next attempt; undefined if every candidate was tried. */
@@ -186,7 +161,7 @@
             // Without retry budget a failure is final, so the request must not go to an upstream that may be gray.
             isRepeatable: dispatched.route.isIdempotent
                 && tried.size + 1 < dispatched.route.maxAttempts
-                && this.#options.retryBudget.hasCredit(dispatched.service),
+                && this.#options.retryBudget.hasCredit(dispatched.service, dispatched.rank),
             answerTimeMs: this.#options.answerTimeMs(dispatched.service)
                 ?? dispatched.route.targetLatencyMs * assumedAnswerFraction,
         });
