Allow for the age of reports in the election of readers

Cause: a reader counts as failing when its last read is older than 1.5 s, of which a watch takes 1 s; others know of a read only with a heartbeat and a digest, up to 0.9 s later in large zones, so instances started and stopped reading all the time. Change: the interval between digests is taken off the age.

--- a/packages/gateway/src/lib/store/fleet-state.test.ts
+++ b/packages/gateway/src/lib/store/fleet-state.test.ts
@@ -2,15 +2,15 @@
 import * as assert from "uvu/assert";
 import { instanceKey } from "../name-key.js";
 import { testConfig, TestFleet, testUpstream } from "../testing/index.js";
-import { shouldRead } from "./reader-election.js";
+import { readerCounts, shouldRead } from "./reader-election.js";
 
 const fleetSize = 44;
 
-const startFleet = async (): Promise<TestFleet> => {
-    const fleet = new TestFleet();
+const startFleet = async (count = fleetSize, zoneCount = 3): Promise<TestFleet> => {
+    const fleet = new TestFleet({ zoneCount });
     fleet.store.put("config", "main", testConfig({ version: 3 }));
     fleet.store.put("upstreams", "u1", testUpstream("u1"));
-    fleet.add(fleetSize);
+    fleet.add(count);
     await fleet.clock.advance(4_000);
     return fleet;
 };
@@ -156,4 +156,18 @@
     assert.is(readers(new Set(first)).filter(reader => !first.includes(reader)).length, 3);
 });
 
+// Guards against instances that start and stop reading since the age of a reader's last read is known late.
+for (const [count, zoneCount] of [[44, 3], [293, 5]] as const) {
+    test(`${count} instances keep the same readers on a calm day`, async () => {
+        const fleet = await startFleet(count, zoneCount);
+        await fleet.clock.advance(2_000);
+        const readers = new Set<string>();
+        for (let step = 0; step < 60; step++) {
+            await fleet.clock.advance(100);
+            fleet.instances.filter(({ state }) => state.isReader).forEach(({ self }) => readers.add(self.id));
+        }
+        assert.is(readers.size, readerCounts.config + readerCounts.upstreams);
+    });
+}
+
 test.run();
--- a/packages/gateway/src/lib/store/fleet-state.ts
+++ b/packages/gateway/src/lib/store/fleet-state.ts
@@ -199,7 +199,9 @@
         for (const { key, isLeaving, heardMs, lastReadMs } of roster.live()) {
             if (!isLeaving && nowMs - heardMs <= timeoutMs) {
                 const atMs = lastReadMs[collection];
-                yield { key, readAgeMs: atMs === undefined ? undefined : nowMs - atMs };
+                // A read is known only with the next heartbeat of its reader and the next digest of its zone.
+                const readAgeMs = atMs === undefined ? undefined : nowMs - atMs - digestIntervalMs();
+                yield { key, readAgeMs };
             }
         }
     }
