--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
@@ -63,6 +63,8 @@
     readonly counted: number;
     /** Value of `counted` from which no request is admitted; shortly below it, only some are. */
     readonly limit: number;
+    /** Share of the window that the reports of the other instances cover; what is missing counts as used up. */
+    readonly coveredShare: number;
 }
 
 /** Size of the fleet according to the roster of this instance. */
@@ -107,7 +109,7 @@
         const account = this.#account(organisation.id);
         const decision = organisation.ratePerSecond > 0
             ? this.#decide(organisation, account, size)
-            : { isAdmitted: true, counted: 0, limit: Infinity };
+            : { isAdmitted: true, counted: 0, limit: Infinity, coveredShare: 1 };
         if (decision.isAdmitted) {
             account.admitted.add(1);
             if (decision.counted >= decision.limit * scarceShare) {
@@ -142,7 +144,7 @@
         const instanceLimit = windowLimit / Math.max(1, size.known);
         if (size.live * 2 < size.known) {
             const counted = account.admitted.total() + 1;
-            return { isAdmitted: counted <= instanceLimit, counted, limit: instanceLimit };
+            return { isAdmitted: counted <= instanceLimit, counted, limit: instanceLimit, coveredShare: 1 };
         }
         const assumedUnreachable = (size.known - size.live) * instanceLimit;
         const remote = this.#remote.usage(nameKey(organisation.id));
@@ -160,7 +162,8 @@
         const usable = room - deviations;
         // All instances see the same room, so each admits only a part if their requests do not fit into it.
         const isAdmitted = usable >= 0 && (usable >= unreported || this.#random() < usable / unreported);
-        return { isAdmitted, counted: used, limit: bound - safetyMargin - deviations };
+        const limit = bound - safetyMargin - deviations;
+        return { isAdmitted, counted: used, limit, coveredShare: 1 - uncoveredShare };
     }
 
     #account(organisation: OrganisationId): Account {
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -144,10 +144,12 @@
         if (organisation !== undefined) {
             rates.recordOffered(organisation.id);
             const size = fleetSize();
-            const { isAdmitted, counted, limit } = rates.tryAdmit(organisation, size);
+            const { isAdmitted, counted, limit, coveredShare } = rates.tryAdmit(organisation, size);
             if (!isAdmitted) {
                 const detail = `${organisation.id} has ${Math.round(counted)} of ${Math.round(limit)} in the window, `
-                    + `${size.live} of ${size.known} instances heard.`;
+                    + `${size.live} of ${size.known} instances heard, ${
+                        Math.round(coveredShare * 100)
+                    } % of it covered.`;
                 return this.#refusal({ type: "over-rate", detail, retryAfterMs: admission.rateRetryAfterMs(load) });
             }
         }
