Keep idle connections open for requests on their way when an instance stops

Cause: closing the server closes idle connections at once, so a request that a caller had just sent on one was cut off. Change: the listener closes first; idle connections follow after 250 ms. Connections that only the kernel has accepted are still reset; their requests were not read. Result: the test of such a request fails without the wait and holds now; under load each request that was read is answered.

--- a/packages/gateway/src/lib/http/caller-server.test.ts
+++ b/packages/gateway/src/lib/http/caller-server.test.ts
@@ -173,4 +173,78 @@
     });
 });
 
+/** Sends requests one after the other, on kept connections as long as they last, until no connection is accepted. */
+const sendUntilRefused = (port: number, onAnswer: () => void): Promise<void> =>
+    new Promise(resolve => {
+        const connect = (): void => {
+            const socket = createConnection({ host: "127.0.0.1", port });
+            let received = "";
+            let isWaiting = false;
+            const send = (): void => {
+                received = "";
+                isWaiting = true;
+                socket.write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+            };
+            socket.on("connect", send);
+            socket.on("data", data => {
+                received += String(data);
+                if (received.endsWith("GET /x 0")) {
+                    isWaiting = false;
+                    onAnswer();
+                    if (!/connection: close/i.test(received)) {
+                        send();
+                    }
+                }
+            });
+            socket.on("error", () => {});
+            socket.on("close", hadError => {
+                if (hadError && !isWaiting) {
+                    resolve();
+                }
+                else {
+                    connect();
+                }
+            });
+        };
+        connect();
+    });
+
+// Guards against requests that are read during a planned stop and end without an answer.
+test("a stop under load answers each request that was read", () => {
+    let read = 0;
+    return withServer(async received => {
+        read++;
+        await new Promise(resolve => setTimeout(resolve, 5));
+        return echo(received);
+    }, async ({ port, flags, server }) => {
+        let answered = 0;
+        const clients = Array.from({ length: 20 }, () => sendUntilRefused(port, () => answered++));
+        await new Promise(resolve => setTimeout(resolve, 150));
+        flags.isLeaving = true;
+        await new Promise(resolve => setTimeout(resolve, 150));
+        await server.close();
+        await Promise.all(clients);
+        assert.is(answered, read);
+        assert.ok(answered > 100, `${answered} answered`);
+    });
+});
+
+// Guards against a request that is on its way when the instance closes its listener.
+test("a request that arrives on an idle connection shortly after the listener closed is answered", () =>
+    withServer(echo, async ({ port, flags, server }) => {
+        const socket = createConnection({ host: "127.0.0.1", port });
+        let received = "";
+        socket.on("data", data => received += String(data));
+        const closed = new Promise(resolve => socket.on("close", resolve));
+        socket.on("error", () => {});
+        socket.write("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+        await new Promise(resolve => setTimeout(resolve, 50));
+        flags.isLeaving = true;
+        const stopped = server.close();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        socket.write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+        await Promise.all([closed, stopped]);
+        assert.match(received, /connection: close[^]*GET \/late 0$/i);
+    }));
+
 test.run();
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -6,6 +6,7 @@
 import { hasValidHeaders, readBody, splitAddress } from "@sniperoad/daemon";
 import { Hono } from "hono";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
 import { errorMessage } from "../errors.js";
 import type { CallerLimits } from "../model.js";
@@ -21,6 +22,8 @@
 };
 /** Maximum header size of the parser; the configured limit is checked afterwards, since it may change. */
 const parserHeaderBytes = 131_072;
+/** Time for which a request that was sent before the listener closed may be on its way. */
+const arrivalMs = 250;
 /** Interval at which the server checks for connections that exceed the header timeout. */
 const timeoutCheckMs = 500;
 
@@ -95,12 +98,17 @@
         this.#server.keepAliveTimeout = idleTimeoutMs;
     }
 
-    /** Stops accepting connections, closes idle ones and resolves when all requests have ended. */
-    close(): Promise<void> {
-        return new Promise(resolve => {
-            this.#server.close(() => resolve());
-            this.#server.closeIdleConnections();
-        });
+    /**
+     * Stops accepting connections and resolves when all requests have ended. Idle connections stay open for
+     * {@link arrivalMs}, so that requests which callers have sent already are read and answered.
+     */
+    async close(): Promise<void> {
+        // `http.Server.close` would close idle connections at once.
+        const closed = new Promise<void>(resolve => NetServer.prototype.close.call(this.#server, () => resolve()));
+        const arrived = new Promise<void>(resolve => this.#options.clock.after(arrivalMs, resolve));
+        await Promise.race([closed, arrived]);
+        this.#server.closeIdleConnections();
+        await closed;
     }
 
     async #serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
