--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
@@ -77,9 +77,9 @@
 
 /**
  * Counts the requests of each organisation that all instances admit, and admits a request if the count leaves room for
- * it. Near the limit it admits as many of them as all instances together have room for until they hear of each other. If fewer than half of the known instances are live, this instance is probably
- * partitioned and limits itself to an equal share of the rate; the shares of other instances that are not live are
- * reserved for them.
+ * it. Near the limit it admits as many of them as all instances together have room for until they hear of each other. If
+ * fewer than half of the known instances are live, this instance is probably partitioned and limits itself to an equal
+ * share of the rate; the shares of other instances that are not live are reserved for them.
  *
  * @example
  * if (rates.tryAdmit(organisation, size).isAdmitted) { send }
--- a/packages/gateway/src/lib/store/fleet-state.ts
+++ b/packages/gateway/src/lib/store/fleet-state.ts
@@ -30,8 +30,8 @@
 
 /**
  * Time without a heartbeat after which an instance no longer counts as a reader, in addition to the interval between
- * digests: an interval of heartbeats and some delay. It is shorter than the time after which an instance is considered down, since a
- * change must be in force within its bound even if readers fail.
+ * digests: an interval of heartbeats and some delay. It is shorter than the time after which an instance is considered
+ * down, since a change must be in force within its bound even if readers fail.
  */
 const readerTimeoutMs = 500;
 
