--- a/packages/gateway/src/lib/fleet/digest-interval.ts
+++ b/packages/gateway/src/lib/fleet/digest-interval.ts
@@ -10,11 +10,11 @@
     Math.min(boundsMs.max, Math.max(boundsMs.min, zoneSize * perInstanceMs));
 
 /** Bounds of the minimum time between urgent messages of an aggregator. */
-const urgentBoundsMs = { min: 40, max: 90 };
+const urgentBoundsMs = { min: 40, max: 150 };
 /** Time added to it for each instance of the zone, since large zones have more outcomes to report. */
-const urgentPerInstanceMs = 1.5;
+const urgentPerInstanceMs = 2.5;
 /** Minimum time between urgent messages of a standby, which only make up for lost ones. */
-const standbyUrgentMs = 150;
+const standbyUrgentMs = 180;
 
 /** Minimum time between urgent messages of an aggregator of a zone with this number of other instances. */
 export const urgentGapOf = (zoneSize: number, isStandby: boolean): number =>
