Leave a quarter of the allowed excess free

Change: a quarter of the excess is left free in addition to the deviations of what is not reported (35 there, 7 of 21 for a small organisation). Result: all tests of the rates hold, also the small organisation's 1 %.

--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
@@ -30,8 +30,11 @@
 
 /** Number of standard deviations of the requests that are not reported yet for which the count leaves room. */
 const safetyDeviations = 1.5;
-/** Requests for which the count leaves room in addition: those between a decision and its report at this instance. */
-const safetyMargin = 2;
+/**
+ * Share of the allowed excess that is left free in addition, for what the estimate of unreported requests does not cover:
+ * reports that are lost, and processes that are replaced.
+ */
+const safetyShare = 0.25;
 /** How much longer than the window of the rate an admission counts, since the request may be sent again later. */
 const extraWindowMs = 100;
 /** Window over which the current request rate is estimated. */
@@ -140,7 +143,8 @@
     #decide(organisation: GatewayOrganisation, account: Account, size: FleetSize): RateDecision {
         const { windowMs, overage, slack } = this.#options();
         const windowLimit = organisation.ratePerSecond * windowMs / 1_000 + organisation.burst;
-        const bound = windowLimit * (1 + overage) + slack;
+        const excess = windowLimit * overage + slack;
+        const bound = windowLimit + excess;
         const instanceLimit = windowLimit / Math.max(1, size.known);
         if (size.live * 2 < size.known) {
             const counted = account.admitted.total() + 1;
@@ -157,12 +161,13 @@
             : this.#remote.reportDelayMs();
         const assumedRate = organisation.ratePerSecond * assumedDemand * uncoveredShare;
         const unreported = Math.max(remote.offered / demandWindowMs, assumedRate / 1_000) * reportDelayMs;
-        const room = bound - safetyMargin - used;
+        const safeBound = bound - safetyShare * excess;
+        const room = safeBound - used;
         const deviations = safetyDeviations * Math.sqrt(Math.min(unreported, Math.max(0, room)));
         const usable = room - deviations;
         // All instances see the same room, so each admits only a part if their requests do not fit into it.
         const isAdmitted = usable >= 0 && (usable >= unreported || this.#random() < usable / unreported);
-        const limit = bound - safetyMargin - deviations;
+        const limit = safeBound - deviations;
         return { isAdmitted, counted: used, limit, coveredShare: 1 - uncoveredShare };
     }
 
