Forget the outcomes received from a replaced process

Cause: the highest sequence numbers of each former process stayed in its aggregator for good. Change: they go with the process. Result: tests of the exchange pass.

--- a/packages/gateway/src/lib/fleet/zone-aggregator.ts
+++ b/packages/gateway/src/lib/fleet/zone-aggregator.ts
@@ -110,6 +110,7 @@
         }
         if (isNew && previous !== undefined) {
             this.#replaced.push(previous);
+            this.#received.delete(previous.heartbeat.id);
         }
         if (!this.isActive) {
             this.#coveredSinceMs = nowMs;
