--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
@@ -152,9 +152,9 @@
         }
         const assumedUnreachable = (size.known - size.live) * instanceLimit;
         const remote = this.#remote.usage(nameKey(organisation.id));
-        // Processes that were replaced together may have admitted all that is allowed before.
+        // Processes that were replaced together may have admitted the rate and the burst before.
         const uncoveredShare = this.#remote.uncoveredShare();
-        const assumedBefore = bound * uncoveredShare;
+        const assumedBefore = windowLimit * uncoveredShare;
         const used = account.admitted.total() + remote.admitted + assumedUnreachable + assumedBefore + 1;
         const reportDelayMs = used >= bound * scarceShare
             ? Math.min(scarceReportDelayMs, this.#remote.reportDelayMs())
