--- a/packages/gateway/src/lib/fleet/zone-aggregator.ts
+++ b/packages/gateway/src/lib/fleet/zone-aggregator.ts
@@ -70,7 +70,7 @@
  *
  * @example
  * aggregator.record(heartbeat);
- * const digest = aggregator.createDigest();
+ * const digest = aggregator.createDigest(false);
  */
 export class ZoneAggregator {
     readonly #options: ZoneAggregatorOptions;
