Play changes of the configuration beside random faults on the virtual clock

The test fleet now has stores that do not answer, watches that hear nothing before a compaction, and connections that become silent without a reset. playConfigDay lays one to four overlapping faults over a series of changes and checks every 50 ms each instance that no fault touches.

Observability: state-behind names the first news of each newer revision, config-in-force the time since then, and sniperoad_config_behind_seconds is the same as a gauge. A late fetch and a late news can be told apart.

--- a/packages/core/src/lib/testing/fake-network.ts
+++ b/packages/core/src/lib/testing/fake-network.ts
@@ -12,6 +12,10 @@
     isDown: boolean;
 }
 
+interface Connection {
+    isSilent: boolean;
+}
+
 /** Options of {@link FakeNetwork}. */
 export interface NetworkOptions {
     readonly clock: Clock;
@@ -33,6 +37,8 @@
     readonly #options: NetworkOptions;
     readonly #endpoints = new Map<string, Endpoint>();
     readonly #blockedLinks = new Set<string>();
+    /** Connections by "from>to", as the TCP adapter has one for the calls to each peer. */
+    readonly #connections = new Map<string, Connection>();
     /** Number of messages sent, by method, for measurements. */
     readonly sentByMethod = new Map<string, number>();
 
@@ -66,6 +72,11 @@
         this.#blockedLinks.clear();
     }
 
+    /** Makes all connections silent that were used so far: nothing arrives on them, and no error is reported. */
+    silenceConnections(): void {
+        this.#connections.forEach(connection => connection.isSilent = true);
+    }
+
     pause(instance: string): void {
         this.#endpoints.get(instance)?.clock.pause();
     }
@@ -90,6 +101,10 @@
         reply: (value: unknown) => void,
     ): void {
         this.sentByMethod.set(method.name, (this.sentByMethod.get(method.name) ?? 0) + 1);
+        const connection = this.#connect(from, to);
+        if (connection.isSilent) {
+            return;
+        }
         this.#transmit(from, to, () => {
             const handler = this.#endpoints.get(to)?.handlers.get(method.name);
             if (handler === undefined) {
@@ -97,12 +112,19 @@
             }
             // A handler may be asynchronous. If it fails, no reply is sent.
             Promise.resolve(handler(from, method.request.parse(body))).then(
-                value => this.#transmit(to, from, () => reply(value)),
+                value => this.#transmit(to, from, () => connection.isSilent || reply(value)),
                 () => {},
             );
         });
     }
 
+    #connect(from: InstanceId, to: InstanceId): Connection {
+        const key = `${from}>${to}`;
+        const connection = this.#connections.get(key) ?? { isSilent: false };
+        this.#connections.set(key, connection);
+        return connection;
+    }
+
     #transmit(from: InstanceId, to: InstanceId, arrive: () => void): void {
         if (this.#blockedLinks.has(`${from}>${to}`) || this.#endpoints.get(from)?.isDown === true) {
             return;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -51,6 +51,7 @@
     const connections = new UpstreamConnectionPool({ clock, codec: headers });
     const metrics: GatewayMetrics = new GatewayMetrics({
         configVersion: () => fleet.config.version,
+        configBehindSeconds: () => fleet.state.behindMs("config") / 1_000,
         upstreams: () => fleet.upstreams.size,
         instancesHeard: () => fleet.roster.live().length,
         isReady: () => fleet.isReady(),
--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -7,6 +7,8 @@
 /** Sources of the gauges, read each time the metrics are served. */
 export interface GaugeSources {
     readonly configVersion: () => number;
+    /** Seconds for which a newer configuration has been known than the one in force. */
+    readonly configBehindSeconds: () => number;
     readonly upstreams: () => number;
     readonly instancesHeard: () => number;
     readonly isReady: () => boolean;
@@ -48,6 +50,11 @@
 
     constructor(sources: GaugeSources) {
         this.#gauge("sniperoad_config_version", "Version of the configuration in force", sources.configVersion);
+        this.#gauge(
+            "sniperoad_config_behind_seconds",
+            "Time for which a newer configuration has been known than the one in force",
+            sources.configBehindSeconds,
+        );
         this.#gauge("sniperoad_upstreams", "Upstreams listed", sources.upstreams);
         this.#gauge("sniperoad_instances_heard", "Other instances heard", sources.instancesHeard);
         this.#gauge("sniperoad_ready", "1 if callers are taken", () => sources.isReady() ? 1 : 0);
--- a/packages/gateway/src/lib/store/fleet-state.ts
+++ b/packages/gateway/src/lib/store/fleet-state.ts
@@ -14,6 +14,7 @@
 import type { ReaderCandidate } from "./reader-election.js";
 import { StateExchange } from "./state-exchange.js";
 import type { SharedCollection, SharedState, StateHolder } from "./state-exchange.js";
+import { StateLag } from "./state-lag.js";
 import type { UpstreamRegistry } from "./upstream-registry.js";
 
 /**
@@ -70,6 +71,7 @@
     readonly #exchange: StateExchange;
     readonly #configReader: CollectionReader<"config">;
     readonly #upstreamReader: CollectionReader<"upstreams">;
+    readonly #lag: StateLag;
     readonly #startedMs: number;
     readonly #ownKey: number;
     /** Monotonic time at which the store last confirmed the state of this instance to any reader. */
@@ -80,6 +82,7 @@
         this.#options = options;
         this.#startedMs = options.clock.monotonicMs();
         this.#ownKey = instanceKey(options.self.id);
+        this.#lag = new StateLag(options.clock, options.log);
         this.#exchange = new StateExchange({
             peers: options.peers,
             clock: options.clock,
@@ -153,6 +156,7 @@
     recordRevision(collection: SharedCollection, revision: number, confirmedAgeMs: number | undefined): void {
         const heldRevision = this.#heldRevision(collection);
         if (revision > heldRevision) {
+            this.#lag.recordHeard(collection, revision, heldRevision);
             this.#exchange.catchUp(collection);
         }
         else if (revision === heldRevision && confirmedAgeMs !== undefined) {
@@ -173,6 +177,11 @@
         return confirmedMs === undefined ? undefined : this.#options.clock.monotonicMs() - confirmedMs;
     }
 
+    /** Time for which a newer state than the held one has been known; 0 if there is none. */
+    behindMs(collection: SharedCollection): number {
+        return this.#lag.behindMs(collection, this.#heldRevision(collection));
+    }
+
     /** Whether this instance has just started and waits for heartbeats before it reads. */
     #isListening(): boolean {
         const elapsedMs = this.#elapsedSince(this.#startedMs);
@@ -234,11 +243,12 @@
     }
 
     #applyConfig(config: GatewayConfig, source: string): boolean {
-        const previousVersion = this.#options.config.version;
+        const former = this.#options.config.version;
+        const behindMs = Math.round(this.behindMs("config"));
         if (!this.#options.config.accept(config)) {
             return false;
         }
-        this.#options.log.event("config-in-force", { version: config.version, former: previousVersion, source });
+        this.#options.log.event("config-in-force", { version: config.version, former, source, behindMs });
         this.#options.onConfig(config);
         this.#options.announce();
         return true;
--- a/packages/gateway/src/lib/testing/index.ts
+++ b/packages/gateway/src/lib/testing/index.ts
@@ -1,3 +1,4 @@
+export * from "./config-days.js";
 export * from "./fixtures.js";
 export * from "./memory-datagrams.js";
 export * from "./memory-store.js";
--- a/packages/gateway/src/lib/testing/memory-store.ts
+++ b/packages/gateway/src/lib/testing/memory-store.ts
@@ -35,6 +35,8 @@
     callCount = 0;
     /** Whether each call fails. */
     isDown = false;
+    /** Whether watches hear nothing, as before the store drops its history. */
+    isMute = false;
 
     constructor(clock: Clock) {
         this.#clock = clock;
@@ -62,10 +64,22 @@
         this.#oldestRevision = ++this.#revision;
     }
 
-    /** The port of one instance, which cannot reach the store while `mayReach` returns false. */
-    port(mayReach: () => boolean = () => true): StorePort {
-        const call = async <T>(run: () => Promise<T> | T): Promise<T> => {
+    /** Revision of the newest change. */
+    get revision(): number {
+        return this.#revision;
+    }
+
+    /**
+     * The port of one instance, which cannot reach the store while `mayReach` returns false. While `isSilent` returns true,
+     * its calls get no answer and fail at their timeout.
+     */
+    port(mayReach: () => boolean = () => true, isSilent: () => boolean = () => false): StorePort {
+        const call = async <T>(run: () => Promise<T> | T, waitMs = 0): Promise<T> => {
             this.callCount++;
+            if (isSilent()) {
+                await this.#pause(callTimeoutMs + waitMs);
+                throw new StoreUnavailableError("the store did not answer; try again later");
+            }
             await this.#pause(callDelayMs);
             if (this.isDown || !mayReach()) {
                 throw new StoreUnavailableError("the store is unavailable; try again later");
@@ -79,7 +93,7 @@
                     items: new Map(this.#objects.get(collection)) as Map<string, Collections[Name]>,
                 })),
             watch: <Name extends CollectionName>(collection: Name, revision: number, waitMs: number) =>
-                call(() => this.#watch(collection, revision, waitMs, mayReach)),
+                call(() => this.#watch(collection, revision, waitMs, { mayReach, isSilent }), waitMs),
             putInstance: record => call(() => this.put("instances", record.name, record)),
             removeInstance: name => call(() => this.put("instances", name, undefined)),
         };
@@ -89,22 +103,26 @@
         collection: Name,
         revision: number,
         waitMs: number,
-        mayReach: () => boolean,
+        { mayReach, isSilent }: { readonly mayReach: () => boolean; readonly isSilent: () => boolean; },
     ): Promise<StoreChanges<Collections[Name]>> {
         const endMs = this.#clock.monotonicMs() + waitMs;
         for (;;) {
+            if (isSilent()) {
+                await this.#pause(endMs + callTimeoutMs - this.#clock.monotonicMs());
+                throw new StoreUnavailableError("the store did not answer; try again later");
+            }
             if (this.isDown || !mayReach()) {
                 throw new StoreUnavailableError("the watch was interrupted; list again");
             }
             if (revision < this.#oldestRevision) {
                 throw new HistoryGoneError("the store no longer has the history; list again");
             }
-            const newEvents = this.#events.filter(event =>
-                event.collection === collection && event.revision > revision
-            );
+            const newEvents = this.isMute
+                ? []
+                : this.#events.filter(event => event.collection === collection && event.revision > revision);
             if (newEvents.length > 0 || this.#clock.monotonicMs() >= endMs) {
                 return {
-                    revision: this.#revision,
+                    revision: this.isMute ? revision : this.#revision,
                     changedRevision: newEvents.at(-1)?.revision ?? this.#revision,
                     changes: newEvents.map(event => event.change) as StoreChange<Collections[Name]>[],
                 };
@@ -118,5 +136,7 @@
     }
 }
 
+/** Time after which a call fails that gets no answer, in addition to the time that a watch waits. */
+const callTimeoutMs = 1_200;
 /** Duration of a call, and interval at which a pending watch checks for changes. */
 const callDelayMs = 4;
--- a/packages/gateway/src/lib/testing/test-fleet.ts
+++ b/packages/gateway/src/lib/testing/test-fleet.ts
@@ -1,6 +1,6 @@
 /** A fleet for tests: exchange and state of each instance, over one network and store on a virtual clock. */
 import { id } from "@sniperoad/core";
-import type { InstanceId, ZoneId } from "@sniperoad/core";
+import type { InstanceId, Random, ZoneId } from "@sniperoad/core";
 import { FakeNetwork, seededRandom, VirtualClock } from "@sniperoad/core/testing";
 import type { DigestCount, DistributedOutcome } from "../fleet/digest.js";
 import { FleetExchange } from "../fleet/fleet-exchange.js";
@@ -23,8 +23,8 @@
     readonly state: FleetState;
     readonly config: CurrentConfig;
     readonly upstreams: UpstreamRegistry;
-    /** Whether the instance can reach the store; tests change it. */
-    readonly reach: { store: boolean; };
+    /** Whether the instance can reach the store, and whether its calls get no answer; tests change it. */
+    readonly reach: { store: boolean; isStoreSilent: boolean; };
     /** Additions to the payload of the next heartbeat; tests change it. */
     readonly payload: { next: () => Partial<HeartbeatPayload>; };
     /** What was received from the others. */
@@ -48,16 +48,19 @@
  */
 export class TestFleet {
     readonly clock = new VirtualClock();
-    readonly random = seededRandom(7);
-    readonly datagrams = new MemoryDatagrams(this.clock, this.random);
+    readonly random: Random;
+    readonly datagrams: MemoryDatagrams;
     readonly store = new MemoryStore(this.clock);
-    readonly network = new FakeNetwork({ clock: this.clock, random: this.random, delayMs: () => 1 });
+    readonly network: FakeNetwork;
     readonly instances: TestInstance[] = [];
     readonly #zoneCount: number;
     #startedCount = 0;
 
-    constructor({ zoneCount = 3 }: { readonly zoneCount?: number; } = {}) {
+    constructor({ zoneCount = 3, seed = 7 }: { readonly zoneCount?: number; readonly seed?: number; } = {}) {
         this.#zoneCount = zoneCount;
+        this.random = seededRandom(seed);
+        this.datagrams = new MemoryDatagrams(this.clock, this.random);
+        this.network = new FakeNetwork({ clock: this.clock, random: this.random, delayMs: () => 1 });
     }
 
     /** Zone of the instance at a peer address. */
@@ -76,15 +79,23 @@
         killed.forEach(instance => {
             instance.end();
             this.datagrams.remove(instance.self.peerAddress);
+            this.network.kill(instance.self.id);
             this.instances.splice(this.instances.indexOf(instance), 1);
         });
     }
 
     /** Stops an instance and starts another process at its address. */
     replace(replaced: TestInstance): void {
-        const number = Number(replaced.self.peerAddress.split(/[.:]/)[3]);
         this.kill([replaced]);
-        this.instances.push(this.#start(number, [this.instances[0]!.self.peerAddress], 1));
+        this.restart(replaced);
+    }
+
+    /** Starts another process at the address of an instance that was killed. */
+    restart({ self }: TestInstance): void {
+        const number = Number(self.peerAddress.split(/[.:]/)[3]);
+        const incarnation = Number(self.id.split("~")[1]) + 1;
+        const seeds = this.instances.slice(0, 2).map(instance => instance.self.peerAddress);
+        this.instances.push(this.#start(number, seeds, incarnation));
     }
 
     #identity(number: number, incarnation: number): GatewayInstance {
@@ -116,14 +127,14 @@
         const { clock, random, datagrams, store } = this;
         const self = this.#identity(number, incarnation);
         const log = { event: () => {} };
-        const reach = { store: true };
+        const reach = { store: true, isStoreSilent: false };
         const payload = { next: (): Partial<HeartbeatPayload> => ({}) };
         const received: TestInstance["received"] = { outcomes: [], successes: [] };
         const flags = { isLeaving: false };
         const roster = new Roster(clock);
         const config = new CurrentConfig(testHash);
         const upstreams = new UpstreamRegistry(clock);
-        const port = store.port(() => reach.store);
+        const port = store.port(() => reach.store, () => reach.isStoreSilent);
         const { peers } = this.network.join(self.id);
         const state: FleetState = new FleetState({
             self,
