Use another connection to a peer after a call without a reply

Callers were handled by an older configuration, at instances without any disturbance of their own, long after connections between instances had become silent without a reset.

Cause: TcpPeers keeps one connection for each peer until it closes. Nothing closes a silent one but the kernel, after minutes, so each fetch from a peer that was asked before failed at its timeout of 400 ms, for this change and each later one.

Why this works: a call without a reply, on a connection on which nothing arrived meanwhile, takes the connection out of use; the next call opens a new one.

--- a/packages/core/src/lib/testing/fake-network.ts
+++ b/packages/core/src/lib/testing/fake-network.ts
@@ -149,6 +149,8 @@
         return new Promise((resolve, reject) => {
             const own = this.#endpoints.get(from)!.clock;
             const timer = own.after(timeoutMs, () => {
+                // The TCP adapter opens a new connection after a call without a reply.
+                this.#connections.delete(`${from}>${to}`);
                 reject(
                     new PeerUnavailableError(
                         `no reply to ${method.name} from ${to} within ${timeoutMs} ms; try another instance`,
--- a/packages/daemon/src/lib/tcp-peers.test.ts
+++ b/packages/daemon/src/lib/tcp-peers.test.ts
@@ -1,6 +1,7 @@
 import { id, PeerUnavailableError } from "@sniperoad/core";
 import type { InstanceId, PeerMethod } from "@sniperoad/core";
-import { createConnection } from "node:net";
+import { createConnection, createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import * as z from "zod";
@@ -72,6 +73,52 @@
     assert.is(await clientPeers.call(serverId, addMethod, body, ampleTimeoutMs), 3);
 });
 
+/** A proxy before a port whose first connection becomes silent on demand, without a reset. */
+const openProxy = async (port: number) => {
+    const state = { accepted: 0, isFirstSilent: false };
+    const sockets: Socket[] = [];
+    const server = createServer(near => {
+        const isFirst = ++state.accepted === 1;
+        const far = createConnection({ host: "127.0.0.1", port });
+        sockets.push(near, far);
+        const pass = (from: Socket, to: Socket) =>
+            from.on("data", (chunk: Buffer) => !(isFirst && state.isFirstSilent) && to.write(chunk))
+                .on("error", () => to.destroy())
+                .on("close", () => to.destroy());
+        pass(near, far);
+        pass(far, near);
+    });
+    const proxyPort = await new Promise<number>(resolve => {
+        server.listen(0, "127.0.0.1", () => resolve((server.address() as AddressInfo).port));
+    });
+    closers.push(() => {
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+    });
+    return { state, port: proxyPort };
+};
+
+// Guards against calls that fail until the kernel gives up a connection that became silent without a reset.
+test("a call without a reply makes the next one use a new connection", async () => {
+    const { clientPeers, port, events } = await openPeers();
+    const proxy = await openProxy(port);
+    clientPeers.setAddress(serverId, `127.0.0.1:${proxy.port}`);
+    assert.is(await clientPeers.call(serverId, addMethod, { a: 1, b: 2 }, ampleTimeoutMs), 3);
+    proxy.state.isFirstSilent = true;
+    assert.is(await resultOf(clientPeers.call(serverId, addMethod, { a: 1, b: 2 }, 50)), "unavailable");
+    assert.is(await clientPeers.call(serverId, addMethod, { a: 2, b: 2 }, ampleTimeoutMs), 4);
+    assert.ok(events.includes("peer-connection-silent"));
+});
+
+// Guards against calls that are lost when another one on their connection takes too long.
+test("a call in flight gets its reply although another one had none in time", async () => {
+    const { clientPeers, serverPeers } = await openPeers();
+    serverPeers.handle(addMethod, (_from, { a }) => new Promise(resolve => setTimeout(() => resolve(a), 200)));
+    const patient = clientPeers.call(serverId, addMethod, { a: 7, b: 0 }, ampleTimeoutMs);
+    assert.is(await resultOf(clientPeers.call(serverId, addMethod, { a: 1, b: 0 }, 20)), "unavailable");
+    assert.is(await patient, 7);
+});
+
 // Guards against notifications that are lost or attributed to another sender.
 test("a notification carries the id of its sender", async () => {
     const { clientPeers, serverPeers } = await openPeers();
--- a/packages/daemon/src/lib/tcp-peers.ts
+++ b/packages/daemon/src/lib/tcp-peers.ts
@@ -25,6 +25,12 @@
 /** Unsent bytes per connection above which messages are dropped, so that a slow peer does not exhaust memory. */
 const maxUnsentBytes = 4 * 1_048_576;
 
+/**
+ * Time for which a connection on which a call got no reply is kept for the replies to its other calls. New calls use
+ * another connection from then on.
+ */
+const retiredForMs = 5_000;
+
 /** Maximum length of the reason in a failure frame; the frame schema rejects longer ones. */
 const maxFailureLength = 1_000;
 
@@ -44,6 +50,8 @@
     readonly #addresses = new Map<InstanceId, string>();
     readonly #outgoing = new Map<InstanceId, Socket>();
     readonly #incoming = new Set<Socket>();
+    /** Outgoing connections that are used for the replies to pending calls only. */
+    readonly #retired = new Set<Socket>();
     readonly #pendingCalls = new Map<number, PendingCall>();
     #server: Server | undefined;
     #sequence = 0;
@@ -74,7 +82,7 @@
     /** Closes all connections. */
     close(): void {
         this.#server?.close();
-        [...this.#incoming, ...this.#outgoing.values()].forEach(socket => socket.destroy());
+        [...this.#incoming, ...this.#outgoing.values(), ...this.#retired].forEach(socket => socket.destroy());
     }
 
     setAddress(instance: InstanceId, peerAddress: string): void {
@@ -115,9 +123,11 @@
             );
         }
         const sequence = ++this.#sequence;
+        const bytesReadBefore = socket.bytesRead;
         return new Promise<unknown>((resolve, reject) => {
             const timer = this.#options.clock.after(timeoutMs, () => {
                 this.#pendingCalls.delete(sequence);
+                this.#retireIfSilent(to, socket, bytesReadBefore);
                 reject(
                     new PeerUnavailableError(
                         `no reply to ${method.name} from ${to} within ${timeoutMs} ms; ask another instance`,
@@ -171,6 +181,25 @@
         return socket;
     }
 
+    /**
+     * Stops using a connection on which nothing has arrived since a call was sent. A connection can become silent without a
+     * reset, and the kernel closes it only after minutes. The peer may also be slow, so that it is closed later.
+     */
+    #retireIfSilent(to: InstanceId, socket: Socket, bytesReadBefore: number): void {
+        if (socket.bytesRead > bytesReadBefore || this.#outgoing.get(to) !== socket) {
+            return;
+        }
+        const { clock, log } = this.#options;
+        log.event("peer-connection-silent", { to });
+        this.#outgoing.delete(to);
+        this.#retired.add(socket);
+        const timer = clock.after(retiredForMs, () => socket.destroy());
+        socket.on("close", () => {
+            timer.cancel();
+            this.#retired.delete(socket);
+        });
+    }
+
     /** Fails the pending calls of a closed connection immediately instead of at their timeouts. */
     #failPendingCalls(socket: Socket, to: InstanceId): void {
         for (const [sequence, pending] of this.#pendingCalls) {
