Ask further holders of a newer state while the first ones are silent

Callers were handled by an older configuration at instances that had heard of the newer one: the holder that they asked was slow, stood still or had just ended, and the next one was asked only after its timeout of 400 ms. Two such holders in a row, after the time for the news, exceed the bound.

Cause: news and content travel apart, and the fetch was sequential.

Change: after 100 ms without an answer another holder is asked as well, at most four at a time, in the own zone first, each once in a round. A state is applied only if it is newer, so a late answer changes nothing.

If the first holder answers, nobody else is asked.

--- a/packages/gateway/src/lib/store/state-exchange.ts
+++ b/packages/gateway/src/lib/store/state-exchange.ts
@@ -1,5 +1,5 @@
 /** Transfers whole collections between instances. */
-import type { Clock, InstanceId, LogPort, PeerMethod, PeerPort, Random } from "@sniperoad/core";
+import type { Clock, InstanceId, LogPort, PeerMethod, PeerPort, Random, Timer } from "@sniperoad/core";
 import * as z from "zod";
 import { errorMessage } from "../errors.js";
 
@@ -21,6 +21,10 @@
 
 /** Timeout of a fetch; a transfer of 1 MB takes less than a tenth of it on the slowest links of the platform. */
 const fetchTimeoutMs = 400;
+/** Time without an answer after which another holder is asked as well; many times a round trip between instances. */
+const hedgeDelayMs = 100;
+/** Maximum number of holders of a collection that are asked at the same time. */
+const maxPendingFetches = 4;
 
 /** An instance that holds a state of the collection. */
 export interface StateHolder {
@@ -73,43 +77,52 @@
         }
     }
 
+    /**
+     * Asks one holder after another until the newest state is held. A holder may be slow, stand still or have just ended, so
+     * the next one is asked before it has answered. Ends once each holder was asked; the next {@link catchUp} begins anew.
+     */
     async #run(collection: SharedCollection): Promise<void> {
-        for (
-            let holder = this.#selectHolder(collection);
-            holder !== undefined;
-            holder = this.#selectHolder(collection)
-        ) {
-            const previousRevision = this.#options.heldRevision(collection);
-            const isNewer = await this.#fetch(collection, holder);
-            if (!isNewer && previousRevision === this.#options.heldRevision(collection)) {
-                // The next call of `catchUp` starts another attempt, perhaps with another holder.
+        const { newestRevision, heldRevision, clock } = this.#options;
+        const asked = new Set<InstanceId>();
+        const pending = new Set<Promise<void>>();
+        while (newestRevision(collection) > heldRevision(collection)) {
+            const holder = pending.size < maxPendingFetches ? this.#selectHolder(collection, asked) : undefined;
+            if (holder !== undefined) {
+                asked.add(holder.id);
+                const fetch = this.#fetch(collection, holder).finally(() => pending.delete(fetch));
+                pending.add(fetch);
+            }
+            else if (pending.size === 0) {
                 return;
             }
+            let timer: Timer | undefined;
+            const hedge = new Promise<void>(resolve => timer = clock.after(hedgeDelayMs, resolve));
+            await Promise.race([hedge, ...pending]);
+            timer?.cancel();
         }
     }
 
-    /** Selects a random holder of a newer state, in the own zone if possible; undefined if the state is the newest. */
-    #selectHolder(collection: SharedCollection): StateHolder | undefined {
-        const heldRevision = this.#options.heldRevision(collection);
-        const newer = this.#options.holders(collection).filter(holder => holder.revision > heldRevision);
+    /** Selects a random holder of a newer state that was not asked, in the own zone if possible. */
+    #selectHolder(collection: SharedCollection, asked: ReadonlySet<InstanceId>): StateHolder | undefined {
+        const { heldRevision, holders, random } = this.#options;
+        const held = heldRevision(collection);
+        const newer = holders(collection).filter(({ id, revision }) => revision > held && !asked.has(id));
         const sameZone = newer.filter(holder => holder.isSameZone);
         const candidates = sameZone.length > 0 ? sameZone : newer;
-        return candidates[Math.floor(this.#options.random() * candidates.length)];
+        return candidates[Math.floor(random() * candidates.length)];
     }
 
-    /** Fetches and applies a state. Returns whether it changed the state of this instance. */
-    async #fetch(collection: SharedCollection, holder: StateHolder): Promise<boolean> {
+    /** Fetches and applies a state; a failure is logged. */
+    async #fetch(collection: SharedCollection, holder: StateHolder): Promise<void> {
         const { peers, log, accept } = this.#options;
         try {
             peers.setAddress(holder.id, holder.peerAddress);
             const state = await peers.call(holder.id, fetchStateMethod, { collection }, fetchTimeoutMs);
             const isNewer = accept(collection, state);
             log.event("state-fetched", { collection, from: holder.id, revision: state.revision, isNews: isNewer });
-            return isNewer;
         }
         catch (error) {
             log.event("state-fetch-failed", { collection, from: holder.id, reason: errorMessage(error) });
-            return false;
         }
     }
 }
