Elect readers by their own statements, and replace failing ones at once

Callers were handled by an older configuration: the readers of the store lost it in the same moment as the change came, without ending.

Cause: a reader counted as failing 1.5 s after its last read, which became known with the next heartbeat and digest; its successors counted from their start as if they had just read, and had the same wait before them. From six failing ones on nobody else read, also if the store served other instances.

Change: a reader states whether it is starting, working or failing. It is failing when an answer is overdue (0.35 s; 0.15 s for the first one) or at the second failed call in a row; its aggregators distribute that at once. A failing reader of the configuration is replaced by two. Beyond 12 failing ones (6 for the list) the others probe the store, about twice a second in total, and whoever it answers reads. A watch waits 0.7 s instead of 1 s.

--- a/packages/gateway/src/lib/fleet/datagrams-fuzz.test.ts
+++ b/packages/gateway/src/lib/fleet/datagrams-fuzz.test.ts
@@ -12,7 +12,7 @@
 const options = { seed: 20_261_204, numRuns: 5_000 };
 
 const info = { id: id<InstanceId>("i1~0"), zone: zoneA, callerAddress: "a:1", peerAddress: "a:2", capacity: 2 };
-const collection = { revision: 5, confirmedAgeMs: 10, holders: [1], readers: [{ key: 2, readAgeMs: 300 }] };
+const collection = { revision: 5, confirmedAgeMs: 10, holders: [1], readers: [{ key: 2, state: "working" as const }] };
 const messages: readonly Message[] = [
     {
         kind: "heartbeat",
--- a/packages/gateway/src/lib/fleet/datagrams.test.ts
+++ b/packages/gateway/src/lib/fleet/datagrams.test.ts
@@ -35,7 +35,7 @@
     revision: 5,
     confirmedAgeMs: 10,
     holders: [1, 0xFF_FF_FF_FF],
-    readers: [{ key: 2, readAgeMs: 300 }],
+    readers: [{ key: 2, state: "failing" as const }],
 };
 
 const digest: ZoneDigest = {
--- a/packages/gateway/src/lib/fleet/datagrams.ts
+++ b/packages/gateway/src/lib/fleet/datagrams.ts
@@ -19,7 +19,7 @@
 import { DatagramError, readBoolean, readBytes, readCount, readList, readText } from "./wire-read.js";
 
 /** Version of the wire format; datagrams of any other version are rejected. */
-export const datagramVersion = 3;
+export const datagramVersion = 4;
 
 /** Maximum number of identities in a datagram, which then fits into a packet of common links. */
 export const maxIdentities = 14;
--- a/packages/gateway/src/lib/fleet/digest-codec.ts
+++ b/packages/gateway/src/lib/fleet/digest-codec.ts
@@ -10,8 +10,8 @@
     ZoneDigest,
     ZoneLoads,
 } from "./digest.js";
-import { decodeAge, decodeInfo, encodeAge, encodeInfo } from "./heartbeat-codec.js";
-import { outcomeKinds } from "./heartbeat.js";
+import { decodeAge, decodeInfo, encodeAge, encodeInfo, readReaderState } from "./heartbeat-codec.js";
+import { outcomeKinds, readerStates } from "./heartbeat.js";
 import { PackedReader, PackedWriter } from "./packed.js";
 import { DatagramError, readBytes, readCount, readList, readText } from "./wire-read.js";
 
@@ -191,7 +191,7 @@
     collection.revision,
     encodeAge(collection.confirmedAgeMs),
     pack(collection.holders, (writer, key) => writer.uint(key, 4)),
-    pack(collection.readers, (writer, { key, readAgeMs }) => writer.uint(key, 4).varint(Math.round(readAgeMs))),
+    pack(collection.readers, (writer, { key, state }) => writer.uint(key, 4).uint(readerStates.indexOf(state), 1)),
 ];
 
 const decodeCollection = (value: unknown): DigestCollection => {
@@ -200,6 +200,6 @@
         revision: readCount(revision),
         confirmedAgeMs: decodeAge(confirmedAgeMs),
         holders: unpack(holders, reader => reader.uint(4)),
-        readers: unpack(readers, reader => ({ key: reader.uint(4), readAgeMs: reader.varint() })),
+        readers: unpack(readers, reader => ({ key: reader.uint(4), state: readReaderState(reader.uint(1)) })),
     };
 };
--- a/packages/gateway/src/lib/fleet/digest-publisher.ts
+++ b/packages/gateway/src/lib/fleet/digest-publisher.ts
@@ -89,7 +89,7 @@
 
     /** Records the report of an instance, or of this one, that uses this instance as its aggregator. */
     recordReport(heartbeat: Heartbeat, isUrgent: boolean): void {
-        const { hasMemberChanged, isNew } = this.#aggregator.record(heartbeat);
+        const { hasMemberChanged, isNew, hasReaderFailed } = this.#aggregator.record(heartbeat);
         if (isNew) {
             this.#newIdentities.push(instanceInfo(heartbeat));
         }
@@ -97,6 +97,9 @@
             const gapMs = heartbeat.isLeaving ? minUrgentGapMs : this.#options.intervalMs() * memberChangeFraction;
             this.#earlyDigest.schedule(this.#lastDigestMs + gapMs);
         }
+        if (hasReaderFailed) {
+            this.#earlyDigest.schedule(this.#lastDigestMs + minUrgentGapMs);
+        }
         if (heartbeat.hasScarceUsage && !this.#isStandby()) {
             this.#earlyDigest.schedule(this.#lastDigestMs + scarceUsageGapMs);
         }
--- a/packages/gateway/src/lib/fleet/digest.ts
+++ b/packages/gateway/src/lib/fleet/digest.ts
@@ -1,6 +1,6 @@
 /** Digests: what an aggregator has received from the instances of its zone, summed up for all instances. */
 import type { GatewayInstance } from "../model.js";
-import type { OutcomeKind } from "./heartbeat.js";
+import type { OutcomeKind, ReaderState } from "./heartbeat.js";
 
 /** An instance from which the aggregator has received a heartbeat recently. */
 export interface DigestMember {
@@ -20,8 +20,15 @@
     readonly confirmedAgeMs: number | undefined;
     /** Keys of some instances of the zone that hold this revision; any of them can be asked for it. */
     readonly holders: readonly number[];
-    /** Instances of the zone that read the collection from the store, with the age of their last read. */
-    readonly readers: readonly { readonly key: number; readonly readAgeMs: number; }[];
+    /** Instances of the zone that read the collection from the store. */
+    readonly readers: readonly DigestReader[];
+}
+
+/** An instance that reads a collection from the store. */
+export interface DigestReader {
+    /** See `instanceKey`. */
+    readonly key: number;
+    readonly state: ReaderState;
 }
 
 /** Requests of an organisation in a zone, in the windows of `OrganisationUsage`. */
--- a/packages/gateway/src/lib/fleet/fleet-exchange.ts
+++ b/packages/gateway/src/lib/fleet/fleet-exchange.ts
@@ -281,9 +281,9 @@
         roster.learn(instanceInfo(heartbeat));
         this.#rosterUpdater.recordHeard(key, instanceInfo(heartbeat), heartbeat, 0);
         for (const collection of ["config", "upstreams"] as const) {
-            const { revision, confirmedAgeMs, isReading, readAgeMs } = heartbeat[collection];
+            const { revision, confirmedAgeMs, reader } = heartbeat[collection];
             roster.recordRevision(key, collection, revision);
-            roster.recordReader(key, collection, isReading ? readAgeMs : undefined);
+            roster.recordReader(key, collection, reader, 0);
             onRevision(collection, revision, confirmedAgeMs);
         }
         if (purpose === "report") {
--- a/packages/gateway/src/lib/fleet/heartbeat-codec.ts
+++ b/packages/gateway/src/lib/fleet/heartbeat-codec.ts
@@ -1,8 +1,8 @@
 /** Wire format of heartbeats. An aggregator decodes hundreds per second, so fields have positions instead of names. */
 import type { InstanceId, OrganisationId, UpstreamId, ZoneId } from "@sniperoad/core";
 import type { GatewayInstance } from "../model.js";
-import { outcomeKinds } from "./heartbeat.js";
-import type { CollectionState, Heartbeat, UpstreamCount } from "./heartbeat.js";
+import { outcomeKinds, readerStates } from "./heartbeat.js";
+import type { CollectionState, Heartbeat, ReaderState, UpstreamCount } from "./heartbeat.js";
 import { readBoolean, readCount, readList, readText } from "./wire-read.js";
 
 /** Maximum number of entries per list in a heartbeat; the platform's largest fleets stay far below it. */
@@ -114,8 +114,7 @@
 const encodeCollectionState = (state: CollectionState) => [
     state.revision,
     encodeAge(state.confirmedAgeMs),
-    state.isReading,
-    Math.round(state.readAgeMs),
+    readerStates.indexOf(state.reader),
 ];
 
 /** Encodes an age that may be unknown. */
@@ -127,12 +126,15 @@
 const decodeEntries = <T>(value: unknown, length: number, decode: (entry: readonly unknown[]) => T): readonly T[] =>
     readList(value, { maxLength: maxListEntries }).map(entry => decode(readList(entry, { length })));
 
+/** @throws DatagramError if the value is not the number of a reader state */
+export const readReaderState = (value: unknown): ReaderState =>
+    readerStates[readCount(value, readerStates.length - 1)]!;
+
 const decodeCollectionState = (value: unknown): CollectionState => {
-    const [revision, confirmedAgeMs, isReading, readAgeMs] = readList(value, { length: 4 });
+    const [revision, confirmedAgeMs, reader] = readList(value, { length: 3 });
     return {
         revision: readCount(revision),
         confirmedAgeMs: decodeAge(confirmedAgeMs),
-        isReading: readBoolean(isReading),
-        readAgeMs: readCount(readAgeMs),
+        reader: readReaderState(reader),
     };
 };
--- a/packages/gateway/src/lib/fleet/heartbeat.ts
+++ b/packages/gateway/src/lib/fleet/heartbeat.ts
@@ -7,12 +7,19 @@
     readonly revision: number;
     /** Time since the store last confirmed to any reader that the revision is the newest; undefined: never. */
     readonly confirmedAgeMs: number | undefined;
-    /** Whether the sender itself reads the collection from the store. */
-    readonly isReading: boolean;
-    /** Time since the sender's last successful read, or since it started to read. */
-    readonly readAgeMs: number;
+    /** Whether the sender itself reads the collection from the store, and with which success. */
+    readonly reader: ReaderState;
 }
 
+/**
+ * How an instance reads a collection from the store: it does not (`idle`), it has had no answer yet (`starting`), the
+ * store answers (`working`), or an answer is overdue or calls fail (`failing`).
+ */
+export type ReaderState = "idle" | "starting" | "working" | "failing";
+
+/** Reader states, indexed by their number on the wire. */
+export const readerStates: readonly ReaderState[] = ["idle", "starting", "working", "failing"];
+
 /** Recent requests of an organisation at the sender. Counts are of a window, so a repeated report changes nothing. */
 export interface OrganisationUsage {
     readonly organisation: OrganisationId;
--- a/packages/gateway/src/lib/fleet/roster-updater.ts
+++ b/packages/gateway/src/lib/fleet/roster-updater.ts
@@ -37,8 +37,10 @@
     applyCollection(collection: SharedCollection, digest: ZoneDigest): void {
         const { revision, confirmedAgeMs, holders, readers } = digest[collection];
         holders.forEach(key => this.#roster.recordRevision(key, collection, revision));
-        const readAges = new Map(readers.map(({ key, readAgeMs }) => [key, readAgeMs]));
-        digest.members.forEach(({ key }) => this.#roster.recordReader(key, collection, readAges.get(key)));
+        const states = new Map(readers.map(({ key, state }) => [key, state]));
+        digest.members.forEach(({ key, ageMs }) =>
+            this.#roster.recordReader(key, collection, states.get(key) ?? "idle", ageMs)
+        );
         this.#onRevision(collection, revision, confirmedAgeMs);
     }
 }
--- a/packages/gateway/src/lib/fleet/roster.ts
+++ b/packages/gateway/src/lib/fleet/roster.ts
@@ -3,6 +3,8 @@
 import type { GatewayInstance } from "../model.js";
 import { instanceKey } from "../name-key.js";
 import type { SharedCollection } from "../store/state-exchange.js";
+import { memberAgeStepMs } from "./digest.js";
+import type { ReaderState } from "./heartbeat.js";
 
 /** Time since an instance was last heard after which it is considered down: five intervals and some delay. */
 export const downAfterMs = 1_700;
@@ -27,8 +29,8 @@
     readonly heardMs: number;
     /** Newest revision of each collection that the instance is known to hold. */
     readonly revisions: Readonly<Record<SharedCollection, number>>;
-    /** For each collection that the instance reads from the store: the time of its last read. */
-    readonly lastReadMs: Partial<Record<SharedCollection, number>>;
+    /** How the instance reads each collection from the store. */
+    readonly readers: Readonly<Record<SharedCollection, ReaderState>>;
 }
 
 interface MutableMember extends MemberState {
@@ -38,7 +40,9 @@
     isLeaving: boolean;
     heardMs: number;
     revisions: Record<SharedCollection, number>;
-    lastReadMs: Partial<Record<SharedCollection, number>>;
+    readers: Record<SharedCollection, ReaderState>;
+    /** Monotonic time of the heartbeat that stated each entry of `readers`. */
+    readonly readerStatedMs: Record<SharedCollection, number>;
 }
 
 interface KnownIdentity {
@@ -106,7 +110,8 @@
                 isLeaving,
                 heardMs,
                 revisions: { config: 0, upstreams: 0 },
-                lastReadMs: {},
+                readers: { config: "idle", upstreams: "idle" },
+                readerStatedMs: { config: -Infinity, upstreams: -Infinity },
             });
         }
         else if (member.info.id === info.id && heardMs >= member.heardMs) {
@@ -132,17 +137,17 @@
         return this.#newestRevisions[collection];
     }
 
-    /** Records that an instance reads a collection and last did so `readAgeMs` ago; undefined: it does not read it. */
-    recordReader(key: number, collection: SharedCollection, readAgeMs: number | undefined): void {
+    /**
+     * Records how an instance read a collection `ageMs` ago. The digests of a zone's aggregators may contain heartbeats of
+     * different age, so an older statement does not replace a newer one.
+     */
+    recordReader(key: number, collection: SharedCollection, state: ReaderState, ageMs: number): void {
         const member = this.#memberOf(key);
-        if (member === undefined) {
-            return;
-        }
-        if (readAgeMs === undefined) {
-            delete member.lastReadMs[collection];
-        }
-        else {
-            member.lastReadMs[collection] = this.#clock.monotonicMs() - readAgeMs;
+        const statedMs = this.#clock.monotonicMs() - ageMs;
+        // Digests round ages down.
+        if (member !== undefined && statedMs >= member.readerStatedMs[collection] - memberAgeStepMs) {
+            member.readers[collection] = state;
+            member.readerStatedMs[collection] = Math.max(statedMs, member.readerStatedMs[collection]);
         }
     }
 
--- a/packages/gateway/src/lib/fleet/zone-aggregator.ts
+++ b/packages/gateway/src/lib/fleet/zone-aggregator.ts
@@ -2,6 +2,7 @@
 import type { Clock, Random } from "@sniperoad/core";
 import type { GatewayInstance } from "../model.js";
 import { instanceKey, nameKey } from "../name-key.js";
+import { sharedCollections } from "../store/state-exchange.js";
 import type { SharedCollection } from "../store/state-exchange.js";
 import { maxMemberAgeMs } from "./digest.js";
 import type {
@@ -47,6 +48,8 @@
     readonly hasMemberChanged: boolean;
     /** Whether the instance is new, so that others may not know its identity. */
     readonly isNew: boolean;
+    /** Whether the store has stopped answering the instance, so that another one must read in its place. */
+    readonly hasReaderFailed: boolean;
 }
 
 /** Outcomes and crashes to be distributed. */
@@ -106,7 +109,7 @@
         const previous = this.#reporters.get(heartbeat.peerAddress);
         const isNew = previous?.heartbeat.id !== heartbeat.id;
         if (!isNew && previous !== undefined && previous.heartbeat.sequence >= heartbeat.sequence) {
-            return { hasMemberChanged: false, isNew: false };
+            return { hasMemberChanged: false, isNew: false, hasReaderFailed: false };
         }
         if (isNew && previous !== undefined) {
             this.#replaced.push(previous);
@@ -127,7 +130,11 @@
             || nowMs - previous.receivedMs > maxMemberAgeMs
             || previous.heartbeat.isReady !== heartbeat.isReady
             || previous.heartbeat.isLeaving !== heartbeat.isLeaving;
-        return { hasMemberChanged, isNew };
+        const hasReaderFailed = sharedCollections.some(collection =>
+            heartbeat[collection].reader === "failing"
+            && previous?.heartbeat[collection].reader !== "failing"
+        );
+        return { hasMemberChanged, isNew, hasReaderFailed };
     }
 
     /** Creates the next digest; `isStandby` leaves out what the other aggregator of the zone reports. */
@@ -150,8 +157,8 @@
                 isReady: heartbeat.isReady,
                 isLeaving: heartbeat.isLeaving,
             })),
-            config: this.#collection("config", held.config, current, nowMs),
-            upstreams: this.#collection("upstreams", held.upstreams, current, nowMs),
+            config: this.#collection("config", held.config, current),
+            upstreams: this.#collection("upstreams", held.upstreams, current),
             // Requests of an instance that has just failed still count for the rates.
             usage: isStandby
                 ? undefined
@@ -223,7 +230,6 @@
         collection: SharedCollection,
         { revision, confirmedAgeMs }: CollectionState,
         reporters: readonly Reporter[],
-        nowMs: number,
     ): DigestCollection {
         const { self, random } = this.#options;
         const holders = reporters
@@ -232,11 +238,8 @@
         const first = Math.floor(random() * holders.length);
         const rotated = [...holders.slice(first), ...holders.slice(0, first)].slice(0, maxHolders - 1);
         const readers = reporters
-            .filter(({ heartbeat }) => heartbeat[collection].isReading)
-            .map(({ heartbeat, receivedMs }) => ({
-                key: instanceKey(heartbeat.id),
-                readAgeMs: heartbeat[collection].readAgeMs + nowMs - receivedMs,
-            }));
+            .filter(({ heartbeat }) => heartbeat[collection].reader !== "idle")
+            .map(({ heartbeat }) => ({ key: instanceKey(heartbeat.id), state: heartbeat[collection].reader }));
         return { revision, confirmedAgeMs, holders: revision > 0 ? [instanceKey(self.id), ...rotated] : [], readers };
     }
 
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -12,6 +12,7 @@
 import { GatewayMetrics } from "./observe/metrics.js";
 import { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
 import type { GatewaySettings } from "./settings.js";
+import { reviewIntervalMs } from "./store/fleet-state.js";
 
 /** A running instance. */
 export interface Gateway {
@@ -27,8 +28,6 @@
 const incarnationDigits = 6;
 /** Time for which callers are asked to cache a directory response; some cache it three times as long. */
 const directoryKeepMs = 1_000;
-/** Interval at which an instance reconsiders whether to read from the store. */
-const reviewIntervalMs = 100;
 /** Interval at which the state of removed upstreams and instances is deleted. */
 const pruneIntervalMs = 1_000;
 /** Fraction of the grace period for which a leaving instance still accepts callers with a cached directory response. */
--- a/packages/gateway/src/lib/store/collection-reader.ts
+++ b/packages/gateway/src/lib/store/collection-reader.ts
@@ -1,16 +1,21 @@
 /** Keeps a collection current by a list and subsequent watches. */
 import type { Clock, LogPort, Timer } from "@sniperoad/core";
 import { errorMessage, HistoryGoneError } from "../errors.js";
+import type { ReaderState } from "../fleet/heartbeat.js";
 import type { CollectionName, Collections, StoreChanges, StorePort, StoreSnapshot } from "./ports.js";
 
 /** Timeout of a watch. Each response confirms the revision, so an outage is detected soon after this time. */
-export const watchWaitMs = 1_000;
+export const watchWaitMs = 700;
+/** Time without an answer, beyond that of a watch, after which a reader is failing; a slow store takes half of it. */
+const overdueMs = 350;
+/** The same for a reader that has had no answer yet, so that another one starts soon if the store does not answer it. */
+const firstOverdueMs = 150;
 /** Pause after a watch with changes, so that one call returns all changes of an event. */
 const pauseAfterChangesMs = 200;
 /** Initial delay after a failure, doubled with each further one up to {@link maxRetryMs}. */
 const firstRetryMs = 150;
-/** Maximum delay after a failure. */
-const maxRetryMs = 1_000;
+/** Maximum delay after a failure; several instances retry, so one of them finds the store within a fraction of it. */
+const maxRetryMs = 2_000;
 
 /** Receives what a {@link CollectionReader} reads. */
 export interface CollectionListener<T> {
@@ -25,6 +30,8 @@
     readonly clock: Clock;
     readonly log: LogPort;
     readonly listener: CollectionListener<Collections[Name]>;
+    /** Called when the reader begins or ceases to fail, which others must know soon. */
+    readonly onFailingChange: () => void;
 }
 
 /**
@@ -33,14 +40,14 @@
  * @example
  * const reader = new CollectionReader(options);
  * reader.start();
- * reader.readAgeMs(); // up to about 1,200 while the store responds promptly
+ * reader.state; // "working" after the first answer
  */
 export class CollectionReader<Name extends CollectionName> {
     readonly #options: CollectionReaderOptions<Name>;
-    #isRunning = false;
+    #state: ReaderState = "idle";
     /** Distinguishes the current loop from one that was stopped during a call. */
     #generation = 0;
-    #lastReadMs = 0;
+    #overdueTimer: Timer | undefined;
     #failingSinceMs: number | undefined;
     #retryMs = firstRetryMs;
     #timer: Timer | undefined;
@@ -51,21 +58,19 @@
         this.#options = options;
     }
 
-    get isRunning(): boolean {
-        return this.#isRunning;
+    get state(): ReaderState {
+        return this.#state;
     }
 
-    /** Time since the last successful read, or since the start of the loop. */
-    readAgeMs(): number {
-        return this.#options.clock.monotonicMs() - this.#lastReadMs;
+    get isRunning(): boolean {
+        return this.#state !== "idle";
     }
 
     start(): void {
-        if (this.#isRunning) {
+        if (this.isRunning) {
             return;
         }
-        this.#isRunning = true;
-        this.#lastReadMs = this.#options.clock.monotonicMs();
+        this.#state = "starting";
         this.#failingSinceMs = undefined;
         this.#retryMs = firstRetryMs;
         this.#cursor = undefined;
@@ -74,12 +79,13 @@
     }
 
     stop(): void {
-        if (!this.#isRunning) {
+        if (!this.isRunning) {
             return;
         }
-        this.#isRunning = false;
+        this.#state = "idle";
         this.#generation++;
         this.#timer?.cancel();
+        this.#overdueTimer?.cancel();
         this.#options.log.event("store-read-stop", { collection: this.#options.collection });
     }
 
@@ -87,6 +93,10 @@
         while (generation === this.#generation) {
             try {
                 const hasChanges = await this.#readOnce(generation);
+                if (generation !== this.#generation) {
+                    return;
+                }
+                this.#overdueTimer?.cancel();
                 this.#recordSuccess();
                 await this.#pause(hasChanges ? pauseAfterChangesMs : 0);
             }
@@ -94,6 +104,7 @@
                 if (generation !== this.#generation) {
                     return;
                 }
+                this.#overdueTimer?.cancel();
                 await this.#handleFailure(error);
             }
         }
@@ -102,6 +113,7 @@
     /** Makes one list or watch call. Returns whether a watch returned changes. */
     async #readOnce(generation: number): Promise<boolean> {
         const { collection, store, listener } = this.#options;
+        this.#expectAnswer(this.#cursor === undefined ? 0 : watchWaitMs);
         if (this.#cursor === undefined) {
             const snapshot = await store.list(collection);
             if (generation === this.#generation) {
@@ -125,9 +137,27 @@
                 afterMs: Math.round(this.#options.clock.monotonicMs() - this.#failingSinceMs),
             });
         }
-        this.#lastReadMs = this.#options.clock.monotonicMs();
         this.#failingSinceMs = undefined;
         this.#retryMs = firstRetryMs;
+        this.#setState("working");
+    }
+
+    /** Counts as failing if the call that follows gets no answer in time; the call itself has a longer timeout. */
+    #expectAnswer(waitMs: number): void {
+        this.#overdueTimer?.cancel();
+        const graceMs = this.#state === "starting" ? firstOverdueMs : overdueMs;
+        this.#overdueTimer = this.#options.clock.after(waitMs + graceMs, () => {
+            this.#options.log.event("store-answer-overdue", { collection: this.#options.collection, waitMs });
+            this.#setState("failing");
+        });
+    }
+
+    #setState(state: ReaderState): void {
+        const hasChanged = (state === "failing") !== (this.#state === "failing");
+        this.#state = state;
+        if (hasChanged) {
+            this.#options.onFailingChange();
+        }
     }
 
     async #handleFailure(error: unknown): Promise<void> {
@@ -138,6 +168,10 @@
             log.event("store-history-gone", { collection });
             return;
         }
+        // A watch may be cut off, so one failure of a reader that worked is repeated before another one takes over.
+        if (this.#failingSinceMs !== undefined || this.#state === "starting") {
+            this.#setState("failing");
+        }
         if (this.#failingSinceMs === undefined) {
             this.#failingSinceMs = clock.monotonicMs();
             log.event("store-lost", { collection, reason: errorMessage(error) });
--- a/packages/gateway/src/lib/store/fleet-state.test.ts
+++ b/packages/gateway/src/lib/store/fleet-state.test.ts
@@ -2,7 +2,7 @@
 import * as assert from "uvu/assert";
 import { instanceKey } from "../name-key.js";
 import { testConfig, TestFleet, testUpstream } from "../testing/index.js";
-import { readerCounts, shouldRead } from "./reader-election.js";
+import { readerCounts, roleOf } from "./reader-election.js";
 
 const fleetSize = 44;
 
@@ -142,14 +142,14 @@
     const keys = Array.from({ length: 20 }, (_, index) => instanceKey(`i${index}~0`));
     const readers = (failing: ReadonlySet<number>) =>
         keys.filter(self =>
-            shouldRead(
-                self,
+            roleOf(
+                { key: self, state: "idle" },
                 "upstreams",
                 keys.filter(other => other !== self).map(key => ({
                     key,
-                    readAgeMs: failing.has(key) ? 5_000 : undefined,
+                    state: failing.has(key) ? "failing" : "idle",
                 })),
-            )
+            ) === "read"
         );
     const first = readers(new Set());
     assert.is(first.length, 3);
--- a/packages/gateway/src/lib/store/fleet-state.ts
+++ b/packages/gateway/src/lib/store/fleet-state.ts
@@ -3,15 +3,14 @@
 import type { Clock, LogPort, PeerPort, Random, UpstreamId } from "@sniperoad/core";
 import { maxUpstreamChanges } from "../fleet/datagrams.js";
 import type { UpstreamChange, UpstreamsMessage } from "../fleet/datagrams.js";
-import type { CollectionState } from "../fleet/heartbeat.js";
+import type { CollectionState, ReaderState } from "../fleet/heartbeat.js";
 import type { Roster } from "../fleet/roster.js";
 import type { GatewayConfig, GatewayInstance, ListedUpstream } from "../model.js";
 import { instanceKey } from "../name-key.js";
 import type { CurrentConfig } from "../routing/current-config.js";
 import { CollectionReader } from "./collection-reader.js";
+import { ElectedReader } from "./elected-reader.js";
 import type { StoreChanges, StorePort, StoreSnapshot } from "./ports.js";
-import { shouldRead } from "./reader-election.js";
-import type { ReaderCandidate } from "./reader-election.js";
 import { StateExchange } from "./state-exchange.js";
 import type { SharedCollection, SharedState, StateHolder } from "./state-exchange.js";
 import { StateLag } from "./state-lag.js";
@@ -29,12 +28,8 @@
  */
 export const startupListenWithoutHolderMs = 250;
 
-/**
- * Time without a heartbeat after which an instance no longer counts as a reader, in addition to the interval between
- * digests: an interval of heartbeats and some delay. It is shorter than the time after which an instance is considered
- * down, since a change must be in force within its bound even if readers fail.
- */
-const readerTimeoutMs = 500;
+/** Interval at which {@link FleetState.review} is called. */
+export const reviewIntervalMs = 100;
 
 /** Age of the last confirmation above which an outage is assumed; entries of live upstreams may have expired in it. */
 const outageThresholdMs = 2_500;
@@ -71,9 +66,9 @@
     readonly #exchange: StateExchange;
     readonly #configReader: CollectionReader<"config">;
     readonly #upstreamReader: CollectionReader<"upstreams">;
+    readonly #electedReaders: readonly { review(): void; }[];
     readonly #lag: StateLag;
     readonly #startedMs: number;
-    readonly #ownKey: number;
     /** Monotonic time at which the store last confirmed the state of this instance to any reader. */
     #confirmedMs: Record<SharedCollection, number | undefined> = { config: undefined, upstreams: undefined };
     #isStopped = false;
@@ -81,7 +76,6 @@
     constructor(options: FleetStateOptions) {
         this.#options = options;
         this.#startedMs = options.clock.monotonicMs();
-        this.#ownKey = instanceKey(options.self.id);
         this.#lag = new StateLag(options.clock, options.log);
         this.#exchange = new StateExchange({
             peers: options.peers,
@@ -94,26 +88,29 @@
             holders: collection => this.#holders(collection),
             newestRevision: collection => options.roster.newestRevision(collection),
         });
+        const { store, clock, log, announce } = options;
+        const common = { store, clock, log, onFailingChange: announce };
         this.#configReader = new CollectionReader({
+            ...common,
             collection: "config",
-            store: options.store,
-            clock: options.clock,
-            log: options.log,
             listener: {
                 onSnapshot: ({ items }) => this.#applyConfigs([...items.values()]),
                 onChanges: ({ changes }) => this.#applyConfigs(changes.flatMap(change => change.value ?? [])),
             },
         });
         this.#upstreamReader = new CollectionReader({
+            ...common,
             collection: "upstreams",
-            store: options.store,
-            clock: options.clock,
-            log: options.log,
             listener: {
                 onSnapshot: snapshot => this.#applySnapshot(snapshot),
                 onChanges: changes => this.#applyChanges(changes),
             },
         });
+        const election = { ...options, reviewIntervalMs, ownKey: instanceKey(options.self.id) };
+        this.#electedReaders = [
+            new ElectedReader({ ...election, collection: "config", reader: this.#configReader }),
+            new ElectedReader({ ...election, collection: "upstreams", reader: this.#upstreamReader }),
+        ];
     }
 
     /** Whether the state suffices to handle requests. */
@@ -126,8 +123,7 @@
         if (this.#isStopped || this.#isListening()) {
             return;
         }
-        this.#reviewReader("config", this.#configReader);
-        this.#reviewReader("upstreams", this.#upstreamReader);
+        this.#electedReaders.forEach(reader => reader.review());
         this.#exchange.catchUp("config");
         this.#exchange.catchUp("upstreams");
     }
@@ -192,38 +188,14 @@
         return elapsedMs < (isHeldByPeer || this.isComplete ? startupListenMs : startupListenWithoutHolderMs);
     }
 
-    #reviewReader(collection: SharedCollection, reader: { start(): void; stop(): void; }): void {
-        if (shouldRead(this.#ownKey, collection, this.#readerCandidates(collection))) {
-            reader.start();
-        }
-        else {
-            reader.stop();
-        }
-    }
-
-    *#readerCandidates(collection: SharedCollection): Iterable<ReaderCandidate> {
-        const { roster, digestIntervalMs, clock } = this.#options;
-        const nowMs = clock.monotonicMs();
-        const timeoutMs = readerTimeoutMs + digestIntervalMs();
-        for (const { key, isLeaving, heardMs, lastReadMs } of roster.live()) {
-            if (!isLeaving && nowMs - heardMs <= timeoutMs) {
-                const atMs = lastReadMs[collection];
-                // A read is known only with the next heartbeat of its reader and the next digest of its zone.
-                const readAgeMs = atMs === undefined ? undefined : nowMs - atMs - digestIntervalMs();
-                yield { key, readAgeMs };
-            }
-        }
-    }
-
     #collectionState(
         collection: SharedCollection,
-        reader: { readonly isRunning: boolean; readAgeMs(): number; },
+        { state: reader }: { readonly state: ReaderState; },
     ): CollectionState {
         return {
             revision: this.#heldRevision(collection),
             confirmedAgeMs: this.confirmedAgeMs(collection),
-            isReading: reader.isRunning,
-            readAgeMs: reader.isRunning ? reader.readAgeMs() : 0,
+            reader,
         };
     }
 
--- a/packages/gateway/src/lib/store/reader-election.ts
+++ b/packages/gateway/src/lib/store/reader-election.ts
@@ -1,4 +1,5 @@
 /** Elects the instances that read a collection from the store on behalf of the fleet. */
+import type { ReaderState } from "../fleet/heartbeat.js";
 import type { SharedCollection } from "./state-exchange.js";
 
 /**
@@ -7,48 +8,65 @@
  * within the time in which a change must be in force.
  */
 export const readerCounts: Readonly<Record<SharedCollection, number>> = { config: 2, upstreams: 3 };
-/** Number of failing readers at which the store itself is considered down, so that no further instance reads. */
-const maxFailingReaders = 6;
 /**
- * Age of the last read above which a reader is considered failing: a watch returns within its timeout of 1,000 ms and
- * the delay of the store.
+ * Number of instances that replace each failing reader. They may be partitioned as well, and a change of the configuration
+ * leaves time for two of such rounds only.
  */
-export const failingReadAgeMs = 1_500;
+const successorCounts: Readonly<Record<SharedCollection, number>> = { config: 2, upstreams: 1 };
+/**
+ * Number of failing readers at which the store itself may be down, so that no further instance reads permanently. The
+ * others then only probe it, since it may also turn away many instances and serve the rest.
+ */
+const maxFailingReaders: Readonly<Record<SharedCollection, number>> = { config: 12, upstreams: 6 };
+/** Mean time between two probes of a collection by any instances, while all first-ranked readers fail. */
+export const probeIntervalMs = 500;
 
 /** A live instance, which may become a reader. */
 export interface ReaderCandidate {
     /** See `instanceKey`. */
     readonly key: number;
-    /** Time since its last read; undefined: it does not read. */
-    readonly readAgeMs: number | undefined;
+    readonly state: ReaderState;
 }
 
+/** Whether an instance reads permanently, makes a single read once in a while, or neither. */
+export type ReaderRole = "read" | "probe" | "rest";
+
 /**
- * Whether an instance should read. Candidates are ranked by their keys, and failing ones are skipped up to
- * {@link maxFailingReaders}. Instances with the same candidates reach the same result without communication.
+ * Decides the role of an instance. Candidates are ranked by their keys, and failing ones are passed over. If the first
+ * {@link maxFailingReaders} all fail, whoever the store answers reads. Instances with the same candidates reach the same
+ * result without communication.
  *
  * @example
- * shouldRead(instanceKey(self.id), "upstreams", candidates);
+ * roleOf({ key: instanceKey(self.id), state: reader.state }, "upstreams", candidates);
  */
-export const shouldRead = (
-    selfKey: number,
+export const roleOf = (
+    self: ReaderCandidate,
     collection: SharedCollection,
     others: Iterable<ReaderCandidate>,
-): boolean => {
-    const ownRank = rankOf(selfKey, collection);
-    let [working, failing] = [0, 0];
-    for (const { key, readAgeMs } of others) {
-        if (rankOf(key, collection) < ownRank) {
-            const isFailing = readAgeMs !== undefined && readAgeMs > failingReadAgeMs;
-            working += isFailing ? 0 : 1;
-            failing += isFailing ? 1 : 0;
-            // Most instances of a large fleet decide after a few candidates.
-            if (working >= readerCounts[collection] || failing >= maxFailingReaders) {
-                return false;
-            }
+): ReaderRole => {
+    const ownRank = rankOf(self.key, collection);
+    const count = readerCounts[collection];
+    const successorCount = successorCounts[collection];
+    let [available, failing, working, workingAnywhere] = [0, 0, 0, 0];
+    for (const { key, state } of others) {
+        const isBetter = rankOf(key, collection) < ownRank;
+        workingAnywhere += state === "working" ? 1 : 0;
+        if (isBetter) {
+            available += state === "failing" ? 0 : 1;
+            failing += state === "failing" ? 1 : 0;
+            working += state === "working" ? 1 : 0;
         }
+        if (working >= count) {
+            return "rest";
+        }
+    }
+    if (failing < maxFailingReaders[collection]) {
+        return available < count + failing * (successorCount - 1) ? "read" : "rest";
+    }
+    if (self.state === "working" || self.state === "starting") {
+        return "read";
     }
-    return true;
+    return workingAnywhere < count && self.state === "idle" ? "probe" : "rest";
 };
 
 /** Opposite ranks, so that an instance of a large fleet does not read both collections. */
--- a/packages/gateway/src/lib/store/state-exchange.ts
+++ b/packages/gateway/src/lib/store/state-exchange.ts
@@ -9,8 +9,9 @@
     readonly value: unknown;
 }
 
-const collectionSchema = z.enum(["config", "upstreams"]);
 /** The collections that instances share. */
+export const sharedCollections = ["config", "upstreams"] as const;
+const collectionSchema = z.enum(sharedCollections);
 export type SharedCollection = z.output<typeof collectionSchema>;
 
 const fetchStateMethod: PeerMethod<{ collection: SharedCollection; }, SharedState> = {
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -62,7 +62,7 @@
     warmupEndMs: 0,
 });
 
-const idleCollectionState: CollectionState = { revision: 0, confirmedAgeMs: undefined, isReading: false, readAgeMs: 0 };
+const idleCollectionState: CollectionState = { revision: 0, confirmedAgeMs: undefined, reader: "idle" };
 
 /** Payload of an instance that accepts requests but has neither state nor requests. */
 export const idlePayload: HeartbeatPayload = {
--- a/packages/gateway/src/lib/testing/test-fleet.ts
+++ b/packages/gateway/src/lib/testing/test-fleet.ts
@@ -8,7 +8,7 @@
 import { Roster } from "../fleet/roster.js";
 import type { GatewayInstance } from "../model.js";
 import { CurrentConfig } from "../routing/current-config.js";
-import { FleetState } from "../store/fleet-state.js";
+import { FleetState, reviewIntervalMs } from "../store/fleet-state.js";
 import { InstanceRecords } from "../store/instance-records.js";
 import { UpstreamRegistry } from "../store/upstream-registry.js";
 import { idlePayload, testHash } from "./fixtures.js";
@@ -35,7 +35,6 @@
     end(): void;
 }
 
-const reviewIntervalMs = 100;
 const usageWindowMs = 5_000;
 
 /**
