Check configurations and upstreams of other instances and writers

Change: state of peers is decoded by schemas like that of the store, and its version must be the one that was stated. An instance whose store gave it an invalid or older entry does not confirm its own.

--- a/packages/gateway/src/lib/store/fleet-state.ts
+++ b/packages/gateway/src/lib/store/fleet-state.ts
@@ -1,6 +1,7 @@
 /** Keeps the configuration and the upstream list current, from the store or from other instances. */
 import { id } from "@sniperoad/core";
 import type { Clock, LogPort, PeerPort, Random, UpstreamId } from "@sniperoad/core";
+import { errorMessage } from "../errors.js";
 import { maxUpstreamChanges } from "../fleet/datagrams.js";
 import type { UpstreamChange, UpstreamsMessage } from "../fleet/datagrams.js";
 import type { CollectionState, ReaderState } from "../fleet/heartbeat.js";
@@ -10,11 +11,12 @@
 import type { CurrentConfig } from "../routing/current-config.js";
 import { CollectionReader } from "./collection-reader.js";
 import { ElectedReader } from "./elected-reader.js";
-import type { StoreChanges, StorePort, StoreSnapshot } from "./ports.js";
+import type { StoreChange, StoreChanges, StorePort, StoreSnapshot } from "./ports.js";
+import { decodeSharedConfig, decodeSharedUpstream, decodeSharedUpstreams } from "./shared-state.js";
 import { StateExchange } from "./state-exchange.js";
 import type { SharedCollection, SharedState, StateHolder } from "./state-exchange.js";
 import { StateLag } from "./state-lag.js";
-import type { UpstreamRegistry } from "./upstream-registry.js";
+import type { UpstreamDelta, UpstreamRegistry } from "./upstream-registry.js";
 
 /**
  * Time after the start in which an instance only listens. It receives the heartbeats of the others within a few
@@ -71,6 +73,8 @@
     readonly #startedMs: number;
     /** Monotonic time at which the store last confirmed the state of this instance to any reader. */
     #confirmedMs: Record<SharedCollection, number | undefined> = { config: undefined, upstreams: undefined };
+    /** Whether the last entry that the store gave this instance is the held configuration. */
+    #isConfigConfirmed = false;
     #isStopped = false;
 
     constructor(options: FleetStateOptions) {
@@ -95,7 +99,7 @@
             collection: "config",
             listener: {
                 onSnapshot: ({ items }) => this.#applyConfigs([...items.values()]),
-                onChanges: ({ changes }) => this.#applyConfigs(changes.flatMap(change => change.value ?? [])),
+                onChanges: ({ changes }) => this.#applyConfigs(changes.map(({ value }) => value)),
             },
         });
         this.#upstreamReader = new CollectionReader({
@@ -161,9 +165,15 @@
     }
 
     /** Applies upstream changes that a reader forwards. */
-    receiveUpstreamChanges(message: UpstreamsMessage): void {
-        if (!this.#applyUpstreams(message)) {
-            this.#exchange.catchUp("upstreams");
+    receiveUpstreamChanges({ fromRevision, toRevision, changes }: UpstreamsMessage): void {
+        try {
+            if (!this.#applyUpstreams({ fromRevision, toRevision, changes: changes.map(decodeChange) })) {
+                this.#exchange.catchUp("upstreams");
+            }
+        }
+        catch (error) {
+            // The list is fetched with its next revision instead.
+            this.#options.log.event("state-rejected", { collection: "upstreams", reason: errorMessage(error) });
         }
     }
 
@@ -209,9 +219,18 @@
         this.#confirmedMs[collection] = Math.max(atMs, this.#confirmedMs[collection] ?? -Infinity);
     }
 
-    #applyConfigs(configs: readonly GatewayConfig[]): void {
-        configs.forEach(config => this.#applyConfig(config, "store"));
-        this.#confirm("config", 0);
+    /** Applies what a reader was given; undefined stands for an entry that is invalid or was removed. */
+    #applyConfigs(configs: readonly (GatewayConfig | undefined)[]): void {
+        const valid = configs.filter(config => config !== undefined);
+        valid.forEach(config => this.#applyConfig(config, "store"));
+        const newest = Math.max(0, ...valid.map(({ version }) => version));
+        if (configs.length > 0) {
+            // Without a valid entry, or with one that is older, the store does not confirm what this instance holds.
+            this.#isConfigConfirmed = newest >= this.#options.config.version && configs.at(-1) !== undefined;
+        }
+        if (this.#isConfigConfirmed) {
+            this.#confirm("config", 0);
+        }
     }
 
     #applyConfig(config: GatewayConfig, source: string): boolean {
@@ -240,26 +259,22 @@
     #applyChanges({ changes, changedRevision }: StoreChanges<ListedUpstream>): void {
         const { upstreams, sendToAll, announce } = this.#options;
         if (changes.length > 0 && changedRevision > upstreams.revision) {
-            const message: UpstreamsMessage = {
-                kind: "upstreams",
-                fromRevision: upstreams.revision,
-                toRevision: changedRevision,
-                changes,
-            };
-            this.#applyUpstreams(message);
+            const delta = { fromRevision: upstreams.revision, toRevision: changedRevision, changes };
+            this.#applyUpstreams(delta);
             // Without the message, the others fetch the list when they hear of its revision.
             if (changes.length <= maxUpstreamChanges) {
-                sendToAll(message);
+                sendToAll({ kind: "upstreams", ...delta });
             }
             announce();
         }
         this.#confirm("upstreams", 0);
     }
 
-    #applyUpstreams({ fromRevision, toRevision, changes }: UpstreamsMessage): boolean {
+    #applyUpstreams(delta: UpstreamDelta): boolean {
         const { upstreams, log } = this.#options;
+        const { toRevision, changes } = delta;
         const isNewer = toRevision > upstreams.revision;
-        const isApplied = upstreams.apply({ fromRevision, toRevision, changes: changes.map(decodeChange) });
+        const isApplied = upstreams.apply(delta);
         if (isNewer && isApplied) {
             changes.forEach(change => log.event("upstream-changed", describeChange(change, toRevision)));
         }
@@ -277,9 +292,10 @@
             return false;
         }
         if (collection === "config") {
-            return this.#applyConfig(state.value as GatewayConfig, "peer");
+            const config = decodeSharedConfig(state.value);
+            return config.version === state.revision && this.#applyConfig(config, "peer");
         }
-        const items = new Map((state.value as ListedUpstream[]).map(listed => [listed.id as string, listed]));
+        const items = new Map(decodeSharedUpstreams(state.value).map(listed => [listed.id as string, listed]));
         return this.#options.upstreams.replace(
             { revision: state.revision, items },
             { isAfterOutage: false, isFromPeer: true },
@@ -301,18 +317,16 @@
     }
 }
 
-const decodeChange = (change: UpstreamChange) => ({
-    name: change.name,
-    value: change.value as ListedUpstream | undefined,
+/** @throws ZodError if the upstream is invalid */
+const decodeChange = ({ name, value }: UpstreamChange): StoreChange<ListedUpstream> => ({
+    name,
+    value: value === undefined ? undefined : decodeSharedUpstream(value),
 });
 
-const describeChange = (change: UpstreamChange, revision: number) => {
-    const listed = change.value as ListedUpstream | undefined;
-    return {
-        upstream: id<UpstreamId>(change.name),
-        revision,
-        state: listed?.state ?? "gone",
-        service: listed?.service,
-        address: listed?.address,
-    };
-};
+const describeChange = ({ name, value: listed }: StoreChange<ListedUpstream>, revision: number) => ({
+    upstream: id<UpstreamId>(name),
+    revision,
+    state: listed?.state ?? "gone",
+    service: listed?.service,
+    address: listed?.address,
+});
--- a/packages/gateway/src/lib/testing/memory-store.ts
+++ b/packages/gateway/src/lib/testing/memory-store.ts
@@ -43,7 +43,7 @@
     }
 
     /** Writes an object, or removes it if the value is undefined. */
-    put(collection: "config", name: string, value: GatewayConfig): void;
+    put(collection: "config", name: string, value: GatewayConfig | undefined): void;
     put(collection: "upstreams", name: string, value: ListedUpstream | undefined): void;
     put(collection: "instances", name: string, value: InstanceRecord | undefined): void;
     put(collection: CollectionName, name: string, value: unknown): void {
