Keep requests to an upstream within the limit that it names

Cause: nobody read Server-Limit. And a right share alone would not hold the bound, as instances choose apart from each other (20 requests in 4 s vary by 4.5), so they have to count together.

Change: an upstream's statement goes to all instances at once and is held until it states something else or its process is replaced. Each instance counts what it has sent within 4 s, and what the others have by their requests in flight and the outcomes that are shared anyway; every attempt selects among the upstreams that have room by these counts. What does not fit is rejected at once. An instance that hears less than half of the fleet keeps to its part. The rates of organisations keep their own count, as it is of admissions and not of attempts.

The components that handle requests move to a file of their own.

Property test of the gate over random limits and times.

--- a/packages/gateway/src/lib/fleet/datagrams.test.ts
+++ b/packages/gateway/src/lib/fleet/datagrams.test.ts
@@ -69,6 +69,13 @@
     },
     { kind: "identities", infos: [info] },
     { kind: "identity-request", sender: "10.0.0.1:2", keys: [1, 2] },
+    {
+        kind: "statements",
+        statements: [
+            { key: 0xFF_FF_FF, incarnation: 0xFF_FF_FF_FF, ageMs: 0, limitPerSecond: 4.51 },
+            { key: 1, incarnation: 0, ageMs: 70_000, limitPerSecond: undefined },
+        ],
+    },
     { kind: "upstreams", fromRevision: 1, toRevision: 2, changes: [{ name: "u1", value: { a: 1 } }] },
 ];
 
@@ -111,6 +118,7 @@
         ["an endless count", datagramOf(digestFields({ 6: Buffer.alloc(40, 0xFF) }))],
         ["loads that end within an entry", datagramOf(["loads", [1, 1, 1, Buffer.from([0]), Buffer.from([0, 0, 1])]])],
         ["an outcome of an unknown kind", datagramOf(["outcomes", Buffer.from([0, 0, 0, 1, 1, 0, 0, 1, 9]), []])],
+        ["a statement that ends within an entry", datagramOf(["statements", Buffer.from([0, 0, 1, 0])])],
         ["a forward address of the wrong type", encoder.encode([datagramVersion, false, [7], Buffer.from([0])])],
     ] as const
 ) {
--- a/packages/gateway/src/lib/fleet/datagrams.ts
+++ b/packages/gateway/src/lib/fleet/datagrams.ts
@@ -3,6 +3,7 @@
 import { match } from "ts-pattern";
 import * as z from "zod";
 import type { GatewayInstance } from "../model.js";
+import type { SharedStatement } from "../statements/upstream-statements.js";
 import {
     decodeCrashes,
     decodeDigest,
@@ -16,10 +17,11 @@
 import type { DistributedCrash, DistributedOutcome, ZoneDigest, ZoneLoads } from "./digest.js";
 import { decodeHeartbeat, decodeInfo, encodeHeartbeat, encodeInfo } from "./heartbeat-codec.js";
 import type { Heartbeat } from "./heartbeat.js";
+import { decodeStatements, encodeStatements } from "./statement-codec.js";
 import { DatagramError, readBoolean, readBytes, readCount, readList, readText } from "./wire-read.js";
 
 /** Version of the wire format; datagrams of any other version are rejected. */
-export const datagramVersion = 4;
+export const datagramVersion = 5;
 
 /** Maximum number of identities in a datagram, which then fits into a packet of common links. */
 export const maxIdentities = 14;
@@ -75,6 +77,7 @@
     | { readonly kind: "identities"; readonly infos: readonly GatewayInstance[]; }
     /** Requests the identities of the instances with these keys. */
     | { readonly kind: "identity-request"; readonly sender: string; readonly keys: readonly number[]; }
+    | { readonly kind: "statements"; readonly statements: readonly SharedStatement[]; }
     | UpstreamsMessage;
 
 /** A message with instructions for its receiver. */
@@ -149,6 +152,7 @@
             ])
             .with({ kind: "identities" }, ({ kind, infos }) => [kind, infos.map(encodeInfo)])
             .with({ kind: "identity-request" }, ({ kind, sender, keys }) => [kind, sender, keys])
+            .with({ kind: "statements" }, ({ kind, statements }) => [kind, encodeStatements(statements)])
             .with({ kind: "upstreams" }, ({ kind, fromRevision, toRevision, changes }) => [
                 kind,
                 fromRevision,
@@ -176,6 +180,10 @@
             const [, outcomes, crashes] = readList(body, { length: 3 });
             return { kind, outcomes: decodeOutcomes(outcomes), crashes: decodeCrashes(crashes) };
         })
+        .with("statements", (kind): Message => ({
+            kind,
+            statements: decodeStatements(readList(body, { length: 2 })[1]),
+        }))
         .with("identities", (kind): Message => {
             const [, infos] = readList(body, { length: 2 });
             return { kind, infos: readList(infos, { maxLength: maxIdentities }).map(decodeInfo) };
--- a/packages/gateway/src/lib/fleet/fleet-exchange.ts
+++ b/packages/gateway/src/lib/fleet/fleet-exchange.ts
@@ -2,6 +2,7 @@
 import type { Clock, LogPort, Random, Timer } from "@sniperoad/core";
 import type { GatewayInstance } from "../model.js";
 import { instanceKey } from "../name-key.js";
+import type { SharedStatement } from "../statements/upstream-statements.js";
 import type { SharedCollection } from "../store/state-exchange.js";
 import { AggregatorSelector } from "./aggregator-selector.js";
 import { direct } from "./datagrams.js";
@@ -60,6 +61,8 @@
     /** Called with the revision of a collection that another instance holds. */
     readonly onRevision: (collection: SharedCollection, revision: number, confirmedAgeMs: number | undefined) => void;
     readonly onUpstreams: (message: UpstreamsMessage) => void;
+    /** Called with what upstreams have stated to other instances, possibly repeatedly. */
+    readonly onStatements: (statements: readonly SharedStatement[]) => void;
 }
 
 /**
@@ -263,6 +266,9 @@
         else if (message.kind === "outcomes") {
             this.#options.onOutcomes(message);
         }
+        else if (message.kind === "statements") {
+            this.#options.onStatements(message.statements);
+        }
         else if (message.kind === "identities") {
             this.#discovery.receiveIdentities(message.infos);
         }
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -1,33 +1,27 @@
 /** Creates the components of an instance and connects them. */
-import type { Clock, LogPort, Random, RouteId, ServiceId, Sha256, UpstreamId, ZoneId } from "@sniperoad/core";
+import type { Clock, LogPort, Random, Sha256, UpstreamId, ZoneId } from "@sniperoad/core";
 import { splitAddress, TcpPeers } from "@sniperoad/daemon";
-import { Admission } from "./admission/admission.js";
-import { AnswerTimes } from "./admission/answer-times.js";
-import { utilizationOf } from "./admission/service-load.js";
 import { FleetLoad } from "./balance/fleet-load.js";
 import type { RemoteLoads } from "./balance/fleet-load.js";
-import { RetryBudget } from "./balance/retry-budget.js";
-import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { DirectoryResponse } from "./fleet/directory.js";
 import { FleetExchange } from "./fleet/fleet-exchange.js";
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
 import { GrayFailureEstimator } from "./health/gray-failure-estimator.js";
-import { PathBackoff } from "./health/path-backoff.js";
 import { SharedOutcomes } from "./health/shared-outcomes.js";
 import { UpstreamFloor } from "./health/upstream-floor.js";
 import type { GatewayInstance } from "./model.js";
-import { instanceKey } from "./name-key.js";
-import type { GatewayMetrics } from "./observe/metrics.js";
+import { instanceKey, nameKey } from "./name-key.js";
 import { FleetRateLimiter } from "./rates/fleet-rate-limiter.js";
 import type { RemoteRates } from "./rates/fleet-rate-limiter.js";
 import { CrashTracker } from "./request/crash-tracker.js";
 import type { HeaderCodec } from "./request/ports.js";
-import { RequestHandler } from "./request/request-handler.js";
 import type { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
-import { UpstreamDispatcher } from "./request/upstream-dispatcher.js";
 import { CurrentConfig } from "./routing/current-config.js";
 import type { GatewaySettings } from "./settings.js";
+import { UpstreamArrivals } from "./statements/upstream-arrivals.js";
+import { UpstreamStatements } from "./statements/upstream-statements.js";
+import type { SharedStatement } from "./statements/upstream-statements.js";
 import { FleetState } from "./store/fleet-state.js";
 import { InstanceRecords } from "./store/instance-records.js";
 import type { StorePort } from "./store/ports.js";
@@ -78,6 +72,8 @@
     readonly floor: UpstreamFloor;
     readonly outcomes: SharedOutcomes;
     readonly crashes: CrashTracker;
+    readonly statements: UpstreamStatements;
+    readonly arrivals: UpstreamArrivals;
     /** Whether requests from callers are accepted. */
     readonly isReady: () => boolean;
 }
@@ -112,8 +108,9 @@
         onLoad: () => exchange.sendLoadsSoon(),
         remoteLoads: { inFlight: key => exchange.view.inFlight(key), loads: () => exchange.view.loads() },
         remoteRates: remoteRatesOf(() => exchange),
+        shareStatements: heard => exchange.sendToAll({ kind: "statements", statements: heard }),
     });
-    const { outcomes, crashes, rates, load } = evidence;
+    const { outcomes, crashes, rates, load, statements } = evidence;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const state: FleetState = new FleetState({
         self,
@@ -159,6 +156,7 @@
         onSuccesses: successes => outcomes.recordSuccesses(successes),
         onRevision: (collection, revision, ageMs) => state.recordRevision(collection, revision, ageMs),
         onUpstreams: message => state.receiveUpstreamChanges(message),
+        onStatements: heard => statements.recordShared(heard),
     });
     const records = new InstanceRecords({
         self,
@@ -181,23 +179,38 @@
 });
 
 /** State about upstreams, loads and rates, derived from the requests of all instances. */
-type Evidence = Pick<FleetComponents, "gray" | "load" | "rates" | "floor" | "outcomes" | "crashes">;
+type Evidence = Pick<
+    FleetComponents,
+    "gray" | "load" | "rates" | "floor" | "outcomes" | "crashes" | "statements" | "arrivals"
+>;
 
 const createEvidence = (
-    { clock, random, settings }: GatewayOptions,
+    { clock, random, settings, log }: GatewayOptions,
     upstreams: UpstreamRegistry,
-    { ownKey, announce, onLoad, remoteLoads, remoteRates }: EvidenceSetup,
+    { ownKey, announce, onLoad, remoteLoads, remoteRates, shareStatements }: EvidenceSetup,
 ): Evidence => {
     const gray = new GrayFailureEstimator(clock);
     const serviceOf = (upstream: UpstreamId) => upstreams.get(upstream)?.listed.service;
     const upstreamsOf = (key: number) => upstreams.idsOf(key);
     const floor = new UpstreamFloor({ clock, random, floorShare: () => settings().floorShare, serviceOf });
+    const arrivals = new UpstreamArrivals({
+        clock,
+        remoteInFlight: upstream => remoteLoads.inFlight(nameKey(upstream)),
+    });
+    const onRemote = (upstream: UpstreamId, count: number) => arrivals.recordRemote(upstream, count);
     return {
         gray,
         floor,
+        arrivals,
+        statements: new UpstreamStatements({
+            clock,
+            log,
+            listedOf: key => upstreamsOf(key).flatMap(upstream => upstreams.get(upstream)?.listed ?? []),
+            share: shareStatements,
+        }),
         load: new FleetLoad(onLoad, remoteLoads),
         rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
-        outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce }),
+        outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce, onRemote }),
         crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
     };
 };
@@ -211,6 +224,8 @@
     readonly onLoad: () => void;
     readonly remoteLoads: RemoteLoads;
     readonly remoteRates: RemoteRates;
+    /** Sends statements of upstreams to all other instances. */
+    readonly shareStatements: (statements: readonly SharedStatement[]) => void;
 }
 
 /** Resets what was measured of the previous process of an upstream. */
@@ -219,90 +234,17 @@
     gray.reset(upstream);
 };
 
-/** Components that handle requests from callers. */
-export interface RequestComponents {
-    readonly connections: UpstreamConnectionPool;
-    readonly handler: RequestHandler;
-    readonly metrics: GatewayMetrics;
-}
-
-/** Creates the components that handle requests from callers. */
-export const createRequestComponents = (
-    options: GatewayOptions,
-    fleet: FleetComponents,
-    metrics: GatewayMetrics,
-    connections: UpstreamConnectionPool,
-): RequestComponents => {
-    const { clock, random, log, sha256, headers, settings } = options;
-    const { roster, upstreams, gray, load, outcomes, crashes, state, config, rates, floor } = fleet;
-    const paths = new PathBackoff(clock);
-    const answerTimes = new AnswerTimes<RouteId>(clock);
-    const serviceTimes = new AnswerTimes<ServiceId>(clock);
-    const admission = new Admission({
-        random,
-        shareWithin: (route, limitMs) => answerTimes.shareWithin(route, limitMs),
-    });
-    const utilization = (service: ServiceId): number =>
-        utilizationOf(upstreams.forService(service), {
-            inFlight: upstream => load.inFlight(upstream),
-            grayProbability: upstream => gray.probability(upstream),
-            isBackingOff: upstream => paths.isBackingOff(upstream),
-        }, clock);
-    const retryBudget = new RetryBudget(clock, () => {
-        const { retryShare, retryBurst, retryWindowSeconds } = settings();
-        return { share: retryShare, burst: retryBurst, windowMs: retryWindowSeconds * 1_000 };
-    });
-    const dispatcher = new UpstreamDispatcher({
-        clock,
-        log,
-        client: connections,
-        codec: headers,
-        selector: new UpstreamSelector({ zone: settings().zone, clock, random, gray, paths, load, floor }),
-        load,
-        paths,
-        outcomes,
-        floor,
-        retryBudget,
-        candidates: service => upstreams.forService(service),
-        crashes,
-        hasHope: ({ id, targetLatencyMs }, leftMs) => admission.hasHope({ route: id, targetLatencyMs }, leftMs),
-        hasRoom: service => utilization(service) < 1,
-        answerTimeMs: service => serviceTimes.quantile(service, 0.25),
-        onAnswer: ({ route, service }, tookMs) => {
-            answerTimes.record(route.id, tookMs);
-            serviceTimes.record(service, tookMs);
-        },
-    });
-    const handler = new RequestHandler({
-        clock,
-        random,
-        sha256,
-        log,
-        config,
-        rates,
-        retryBudget,
-        crashes,
-        dispatcher,
-        admission,
-        utilization,
-        codec: headers,
-        isInitialized: () => state.isComplete,
-        fleetSize: () => ({ live: roster.live().length + 1, known: roster.known().length + 1 }),
-        unconfirmedReason: () => unconfirmedReason(settings(), state),
-        onDone: (route, status, tookMs) => metrics.request(route?.id, status, tookMs),
-    });
-    return { connections, handler, metrics };
-};
-
 /** Removes the state of upstreams that are no longer listed. */
 export const pruneState = (
-    { upstreams, gray, floor }: FleetComponents,
+    { upstreams, gray, floor, statements, arrivals }: FleetComponents,
     connections: UpstreamConnectionPool,
 ): void => {
     const isListed = (upstream: Parameters<UpstreamRegistry["get"]>[0]): boolean =>
         upstreams.get(upstream) !== undefined;
     gray.retain(isListed);
     floor.retain(isListed);
+    statements.retain(isListed);
+    arrivals.retain(isListed);
     connections.retain(isListed);
 };
 
@@ -311,17 +253,3 @@
     overage: rateOverage,
     slack: rateSlack,
 });
-
-/**
- * Returns why the configuration counts as unconfirmed: a change that must be in force by now could have been missed.
- * Undefined if it is confirmed, or if the settings do not refuse unconfirmed configurations.
- */
-const unconfirmedReason = (settings: GatewaySettings, state: FleetState): string | undefined => {
-    if (!settings.refuseWhenUnconfirmed) {
-        return undefined;
-    }
-    const ageMs = state.confirmedAgeMs("config");
-    return ageMs !== undefined && ageMs <= settings.configApplyMs
-        ? undefined
-        : `The configuration was last confirmed ${ageMs === undefined ? "never" : `${Math.round(ageMs)} ms ago`}.`;
-};
--- a/packages/gateway/src/lib/health/shared-outcomes.ts
+++ b/packages/gateway/src/lib/health/shared-outcomes.ts
@@ -38,6 +38,8 @@
     readonly upstreamsOf: (key: number) => readonly UpstreamId[];
     /** Sends a heartbeat immediately. */
     readonly announce: () => void;
+    /** Called with the number of requests of other instances that an upstream has ended. */
+    readonly onRemote?: (upstream: UpstreamId, count: number) => void;
 }
 
 /**
@@ -91,13 +93,16 @@
 
     /** Records outcomes that aggregators distribute; each counts once, although two aggregators repeat it. */
     recordDistributed(outcomes: readonly DistributedOutcome[]): void {
-        const { ownKey, upstreamsOf, clock } = this.#options;
+        const { ownKey, upstreamsOf, clock, onRemote } = this.#options;
         const nowMs = clock.monotonicMs();
         for (const { origin, sequence, upstreamKey, kind } of outcomes) {
             const identity = `${origin}/${sequence}`;
             if (origin !== ownKey && !this.#received.has(identity)) {
                 this.#received.set(identity, nowMs);
-                upstreamsOf(upstreamKey).forEach(upstream => this.#apply(upstream, kind));
+                for (const upstream of upstreamsOf(upstreamKey)) {
+                    this.#apply(upstream, kind);
+                    onRemote?.(upstream, 1);
+                }
             }
         }
         for (const [identity, atMs] of this.#received) {
@@ -112,6 +117,7 @@
     recordSuccesses(successes: readonly DigestCount[]): void {
         for (const { key, count } of successes) {
             for (const upstream of this.#options.upstreamsOf(key)) {
+                this.#options.onRemote?.(upstream, count);
                 for (let index = 0; index < count; index++) {
                     this.#apply(upstream, "success");
                 }
--- a/packages/gateway/src/lib/model.ts
+++ b/packages/gateway/src/lib/model.ts
@@ -108,6 +108,12 @@
     readonly deadlineMs: number | undefined;
 }
 
+/** What an upstream states about itself in an answer. */
+export interface UpstreamStatement {
+    /** Requests per second that it takes from all instances together; undefined: it names no limit. */
+    readonly limitPerSecond: number | undefined;
+}
+
 /** What the header fields of an upstream's response state. */
 export interface ResponseMetadata {
     /** The request to which the response belongs, according to the upstream. */
@@ -120,4 +126,6 @@
     readonly isFromUpstream: boolean;
     /** The body is not in the form in which the upstream's program wrote it. */
     readonly isEncoded: boolean;
+    /** What the upstream states about itself, whatever the request. */
+    readonly statement: UpstreamStatement;
 }
--- /dev/null
+++ b/packages/gateway/src/lib/request-components.ts
@@ -0,0 +1,110 @@
+/** Creates the components that handle requests from callers. */
+import type { RouteId, ServiceId } from "@sniperoad/core";
+import { Admission } from "./admission/admission.js";
+import { AnswerTimes } from "./admission/answer-times.js";
+import { utilizationOf } from "./admission/service-load.js";
+import { RetryBudget } from "./balance/retry-budget.js";
+import { UpstreamSelector } from "./balance/upstream-selector.js";
+import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
+import { PathBackoff } from "./health/path-backoff.js";
+import type { GatewayMetrics } from "./observe/metrics.js";
+import { RequestHandler } from "./request/request-handler.js";
+import type { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
+import { UpstreamDispatcher } from "./request/upstream-dispatcher.js";
+import type { GatewaySettings } from "./settings.js";
+import { WillingUpstreams } from "./statements/willing-upstreams.js";
+import type { FleetState } from "./store/fleet-state.js";
+
+/** Components that handle requests from callers. */
+export interface RequestComponents {
+    readonly connections: UpstreamConnectionPool;
+    readonly handler: RequestHandler;
+    readonly metrics: GatewayMetrics;
+}
+
+/** Creates the components that handle requests from callers. */
+export const createRequestComponents = (
+    options: GatewayOptions,
+    fleet: FleetComponents,
+    metrics: GatewayMetrics,
+    connections: UpstreamConnectionPool,
+): RequestComponents => {
+    const { clock, random, log, sha256, headers, settings } = options;
+    const { roster, upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, arrivals } =
+        fleet;
+    const paths = new PathBackoff(clock);
+    const answerTimes = new AnswerTimes<RouteId>(clock);
+    const serviceTimes = new AnswerTimes<ServiceId>(clock);
+    const admission = new Admission({
+        random,
+        shareWithin: (route, limitMs) => answerTimes.shareWithin(route, limitMs),
+    });
+    const utilization = (service: ServiceId): number =>
+        utilizationOf(upstreams.forService(service), {
+            inFlight: upstream => load.inFlight(upstream),
+            grayProbability: upstream => gray.probability(upstream),
+            isBackingOff: upstream => paths.isBackingOff(upstream),
+        }, clock);
+    const retryBudget = new RetryBudget(clock, () => {
+        const { retryShare, retryBurst, retryWindowSeconds } = settings();
+        return { share: retryShare, burst: retryBurst, windowMs: retryWindowSeconds * 1_000 };
+    });
+    const fleetSize = () => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
+    const willing = new WillingUpstreams({ clock, random, statements, arrivals, reach: fleetSize });
+    const dispatcher = new UpstreamDispatcher({
+        clock,
+        log,
+        client: connections,
+        codec: headers,
+        selector: new UpstreamSelector({ zone: settings().zone, clock, random, gray, paths, load, floor }),
+        load,
+        paths,
+        outcomes,
+        floor,
+        retryBudget,
+        arrivals,
+        statements,
+        candidates: service => willing.among(upstreams.forService(service)),
+        crashes,
+        hasHope: ({ id, targetLatencyMs }, leftMs) => admission.hasHope({ route: id, targetLatencyMs }, leftMs),
+        hasRoom: service => utilization(service) < 1,
+        answerTimeMs: service => serviceTimes.quantile(service, 0.25),
+        onAnswer: ({ route, service }, tookMs) => {
+            answerTimes.record(route.id, tookMs);
+            serviceTimes.record(service, tookMs);
+        },
+    });
+    const handler = new RequestHandler({
+        clock,
+        random,
+        sha256,
+        log,
+        config,
+        rates,
+        retryBudget,
+        crashes,
+        dispatcher,
+        admission,
+        utilization,
+        codec: headers,
+        isInitialized: () => state.isComplete,
+        fleetSize,
+        unconfirmedReason: () => unconfirmedReason(settings(), state),
+        onDone: (route, status, tookMs) => metrics.request(route?.id, status, tookMs),
+    });
+    return { connections, handler, metrics };
+};
+
+/**
+ * Returns why the configuration counts as unconfirmed: a change that must be in force by now could have been missed.
+ * Undefined if it is confirmed, or if the settings do not refuse unconfirmed configurations.
+ */
+const unconfirmedReason = (settings: GatewaySettings, state: FleetState): string | undefined => {
+    if (!settings.refuseWhenUnconfirmed) {
+        return undefined;
+    }
+    const ageMs = state.confirmedAgeMs("config");
+    return ageMs !== undefined && ageMs <= settings.configApplyMs
+        ? undefined
+        : `The configuration was last confirmed ${ageMs === undefined ? "never" : `${Math.round(ageMs)} ms ago`}.`;
+};
--- a/packages/gateway/src/lib/request/endless-responses.test.ts
+++ b/packages/gateway/src/lib/request/endless-responses.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { testUpstream } from "../testing/index.js";
+import { noStatement, testUpstream } from "../testing/index.js";
 import { UpstreamConnectionPool } from "./upstream-connection-pool.js";
 
 const block = "x".repeat(65_536);
@@ -70,6 +70,7 @@
                 isMisdirected: false,
                 isFromUpstream: true,
                 isEncoded: false,
+                statement: noStatement,
             }),
         },
         maxBufferedBytes: 24 * megabyte,
--- a/packages/gateway/src/lib/request/upstream-connection-pool.test.ts
+++ b/packages/gateway/src/lib/request/upstream-connection-pool.test.ts
@@ -4,7 +4,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { ResponseMetadata } from "../model.js";
-import { testUpstream } from "../testing/index.js";
+import { noStatement, testUpstream } from "../testing/index.js";
 import type { UpstreamRequest, UpstreamResult } from "./ports.js";
 import { UpstreamConnectionPool } from "./upstream-connection-pool.js";
 
@@ -14,6 +14,7 @@
     isMisdirected: false,
     isFromUpstream: true,
     isEncoded: headers.some(([name]) => name === "content-encoding"),
+    statement: noStatement,
 });
 
 type TestCall = (id: string | undefined, timeoutMs?: number, isRepeatable?: boolean) => Promise<UpstreamResult>;
--- a/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
@@ -10,7 +10,7 @@
 import { PathBackoff } from "../health/path-backoff.js";
 import { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { ResponseMetadata } from "../model.js";
-import { knownUpstream, reportsService, testRoute, zoneA } from "../testing/index.js";
+import { knownUpstream, noStatement, reportsService, testRoute, zoneA } from "../testing/index.js";
 import { CrashTracker } from "./crash-tracker.js";
 import type { DispatchedRequest } from "./dispatch.js";
 import type { UpstreamRequest, UpstreamResult } from "./ports.js";
@@ -22,6 +22,7 @@
     isMisdirected: false,
     isFromUpstream: true,
     isEncoded: false,
+    statement: noStatement,
 };
 
 const responded = (status: number, changed: Partial<ResponseMetadata> = {}): UpstreamResult => ({
@@ -53,6 +54,8 @@
     const { suspects = [], seed = 1 } = script;
     const clock = new VirtualClock();
     const calls: UpstreamRequest[] = [];
+    const sent: string[] = [];
+    const stated: (readonly [upstream: string, limitPerSecond: number | undefined])[] = [];
     const gray = new GrayFailureEstimator(clock);
     const paths = new PathBackoff(clock);
     const load = new FleetLoad();
@@ -84,6 +87,8 @@
         paths,
         outcomes: new SharedOutcomes({ clock, gray, floor, ...noOthers }),
         floor,
+        arrivals: { recordOwn: upstream => void sent.push(upstream) },
+        statements: { recordAnswer: (listed, statement) => void stated.push([listed.id, statement.limitPerSecond]) },
         retryBudget,
         candidates: () => ["u1", "u2", "u3"].map(name => knownUpstream(name)),
         crashes,
@@ -116,9 +121,46 @@
     await clock.advance(backoffCheckMs);
     const isBackingOffEarly = calls[0] !== undefined && paths.isBackingOff(calls[0].upstream.id);
     await clock.advance(1_500 - backoffCheckMs);
-    return { result: await run, calls, load, crashes, isBackingOffEarly };
+    return { result: await run, calls, load, crashes, isBackingOffEarly, sent, stated };
 };
 
+// Guards against attempts that do not count for the limits of upstreams, and against statements that nobody hears.
+test("each attempt is counted, and each statement of an upstream is recorded", async () => {
+    const limited = (limitPerSecond: number, changed: Partial<ResponseMetadata> = {}) =>
+        responded(503, { ...changed, statement: { limitPerSecond } });
+    const { calls, sent, stated } = await runScript({
+        results: [[limited(3, { isNotRun: true, isFromUpstream: false })], [limited(4)]],
+    });
+    assert.equal(sent, calls.map(({ upstream }) => upstream.id));
+    assert.equal(stated, [[sent[0], 3], [sent[1], 4]]);
+});
+
+// Guards against statements that a garbled answer, an intermediary or another process made.
+for (
+    const [name, result] of [
+        ["an answer for another request", { kind: "foreign", reason: "other" }],
+        [
+            "an answer without the upstream's mark",
+            responded(200, {
+                isFromUpstream: false,
+                statement: { limitPerSecond: 1 },
+            }),
+        ],
+        [
+            "an answer of another process",
+            responded(421, {
+                isNotRun: true,
+                isMisdirected: true,
+                statement: { limitPerSecond: 1 },
+            }),
+        ],
+    ] as const
+) {
+    test(`${name} states nothing`, async () => {
+        assert.equal((await runScript({ results: [[result]], maxAttempts: 1 })).stated, []);
+    });
+}
+
 const broken: UpstreamResult = { kind: "broken", reason: "reset", hadHeaders: false };
 const refused: UpstreamResult = { kind: "refused", reason: "refused" };
 
--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -8,6 +8,8 @@
 import type { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { UpstreamFloor } from "../health/upstream-floor.js";
 import type { GatewayRoute, ListedUpstream } from "../model.js";
+import type { UpstreamArrivals } from "../statements/upstream-arrivals.js";
+import type { UpstreamStatements } from "../statements/upstream-statements.js";
 import type { KnownUpstream } from "../store/upstream-registry.js";
 import type { CrashTracker } from "./crash-tracker.js";
 import type { DispatchedRequest, DispatchResult } from "./dispatch.js";
@@ -37,7 +39,10 @@
     readonly paths: PathBackoff;
     readonly outcomes: SharedOutcomes;
     readonly floor: Pick<UpstreamFloor, "recordUse">;
+    readonly arrivals: Pick<UpstreamArrivals, "recordOwn">;
+    readonly statements: Pick<UpstreamStatements, "recordAnswer">;
     readonly retryBudget: RetryBudget;
+    /** Upstreams of a service that may get one more request now. */
     readonly candidates: (service: ServiceId) => readonly KnownUpstream[];
     readonly crashes: CrashTracker;
     /** Whether an answer is possible within a time. */
@@ -169,6 +174,7 @@
 
     #startAttempt(progress: Progress, selection: Selection, signal: AbortSignal, running: Set<Promise<void>>): void {
         this.#options.floor.recordUse(selection.upstream.listed.id);
+        this.#options.arrivals.recordOwn(selection.upstream.listed.id);
         progress.sent++;
         progress.tried.add(selection.upstream.listed.id);
         const attempt = this.#attempt(progress, selection, signal).then(() => {
@@ -230,7 +236,7 @@
             .with({ kind: "answer" }, ({ answer }): DispatchResult => {
                 paths.recordSuccess(upstream);
                 this.#options.crashes.clear(dispatched.fingerprint);
-                return this.#evaluateResponse(answer, upstream);
+                return this.#evaluateResponse(answer, listed);
             })
             .with({ kind: "refused" }, ({ reason }): DispatchResult => {
                 this.#recordPathFailure(listed);
@@ -270,12 +276,16 @@
         }
     }
 
-    #evaluateResponse(answer: UpstreamResponse, upstream: UpstreamId): DispatchResult {
-        const { outcomes, paths } = this.#options;
+    #evaluateResponse(answer: UpstreamResponse, listed: ListedUpstream): DispatchResult {
+        const { outcomes, paths, statements } = this.#options;
+        const upstream = listed.id;
         if (answer.metadata.isMisdirected) {
             paths.recordFailure(upstream);
             return { kind: "not-run", reason: "the address belongs to another upstream" };
         }
+        if (answer.metadata.isNotRun || answer.metadata.isFromUpstream) {
+            statements.recordAnswer(listed, answer.metadata.statement);
+        }
         if (answer.metadata.isNotRun) {
             return { kind: "not-run", reason: `the upstream refused it with ${answer.status}` };
         }
@@ -293,7 +303,7 @@
             return { kind: "cancelled" };
         }
         if (last === undefined) {
-            return { kind: "not-run", reason: "no upstream of the service is listed" };
+            return { kind: "not-run", reason: "no upstream of the service takes a request" };
         }
         if (last.kind === "not-run" && mayHaveRun) {
             return { kind: "unknown", reason: `an earlier attempt may have run; ${last.reason}`, isTimeout: false };
--- /dev/null
+++ b/packages/gateway/src/lib/statements/limits.test.ts
@@ -0,0 +1,211 @@
+import type { UpstreamId } from "@sniperoad/core";
+import { seededRandom, VirtualClock } from "@sniperoad/core/testing";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FleetLoad } from "../balance/fleet-load.js";
+import { UpstreamSelector } from "../balance/upstream-selector.js";
+import { GrayFailureEstimator } from "../health/gray-failure-estimator.js";
+import { PathBackoff } from "../health/path-backoff.js";
+import { knownUpstream, zoneA } from "../testing/index.js";
+import { limitWindowMs, mayReceive, roomOf } from "./limit-gate.js";
+import { UpstreamArrivals } from "./upstream-arrivals.js";
+import { UpstreamStatements } from "./upstream-statements.js";
+import { WillingUpstreams } from "./willing-upstreams.js";
+
+const instanceCount = 44;
+const upstreamCount = 27;
+const workMs = 160;
+/** Time until instances count what another one has sent or heard. */
+const reportDelayMs = 300;
+
+interface Day {
+    readonly seed: number;
+    readonly requestsPerSecond: number;
+    readonly limitPerSecond: number;
+    /** Number of upstreams that name the limit. */
+    readonly limitedCount: number;
+    readonly durationMs: number;
+}
+
+/** Plays a load on a fleet, and returns when each limited upstream got requests and how many were not sent. */
+const play = async ({ seed, requestsPerSecond, limitPerSecond, limitedCount, durationMs }: Day) => {
+    const clock = new VirtualClock();
+    const random = seededRandom(seed);
+    const upstreams = Array.from({ length: upstreamCount }, (_, index) => knownUpstream(`u${index}`));
+    const limited = new Set<UpstreamId>(upstreams.slice(0, limitedCount).map(({ listed }) => listed.id));
+    const received = new Map<UpstreamId, number[]>([...limited].map(upstream => [upstream, []]));
+    let rejected = 0;
+    const instances = Array.from({ length: instanceCount }, () => {
+        const remoteInFlight = new Map<UpstreamId, number>();
+        const arrivals = new UpstreamArrivals({ clock, remoteInFlight: upstream => remoteInFlight.get(upstream) ?? 0 });
+        const statements: UpstreamStatements = new UpstreamStatements({
+            clock,
+            log: { event: () => {} },
+            listedOf: () => [],
+            share: () => {},
+        });
+        const gray = new GrayFailureEstimator(clock);
+        const load = new FleetLoad();
+        const paths = new PathBackoff(clock);
+        const floor = { pick: () => undefined };
+        const selector = new UpstreamSelector({ zone: zoneA, clock, random, gray, paths, load, floor });
+        const reach = () => ({ live: instanceCount, known: instanceCount });
+        return {
+            arrivals,
+            statements,
+            selector,
+            remoteInFlight,
+            willing: new WillingUpstreams({ clock, random, statements, arrivals, reach }),
+        };
+    });
+    const report = (from: unknown, change: (instance: typeof instances[number]) => void) =>
+        clock.after(reportDelayMs, () => instances.filter(instance => instance !== from).forEach(change));
+    const send = () => {
+        const instance = instances[Math.floor(random() * instanceCount)]!;
+        const request = { tried: new Set<UpstreamId>(), isRepeatable: false, answerTimeMs: workMs };
+        const candidates = instance.willing.among(upstreams);
+        const selected = instance.selector.select({ ...request, candidates })?.upstream.listed;
+        if (selected === undefined) {
+            rejected++;
+            return;
+        }
+        instance.arrivals.recordOwn(selected.id);
+        received.get(selected.id)?.push(clock.monotonicMs());
+        const change = (by: number) =>
+            report(
+                instance,
+                ({ remoteInFlight }) => remoteInFlight.set(selected.id, (remoteInFlight.get(selected.id) ?? 0) + by),
+            );
+        change(1);
+        clock.after(workMs, () => {
+            change(-1);
+            report(instance, ({ arrivals }) => arrivals.recordRemote(selected.id, 1));
+            instance.statements.recordAnswer(selected, {
+                limitPerSecond: limited.has(selected.id) ? limitPerSecond : undefined,
+            });
+        });
+    };
+    for (let sentMs = 0; sentMs < durationMs; sentMs += -Math.log(1 - random()) * 1_000 / requestsPerSecond) {
+        clock.after(sentMs, send);
+    }
+    await clock.advance(durationMs + 1_000);
+    return { received: [...received.values()], rejected };
+};
+
+/** Most events within a span, from a time on. */
+const mostWithin = (timesMs: readonly number[], spanMs: number, fromMs: number): number => {
+    const late = timesMs.filter(timeMs => timeMs >= fromMs);
+    return Math.max(
+        0,
+        ...late.map((startMs, index) => late.slice(index).filter(timeMs => timeMs < startMs + spanMs).length),
+    );
+};
+
+// Guards against an upstream in need that gets more than it has asked for, at the load at which all limits suffice.
+for (const seed of [1, 2, 3]) {
+    test(`limited upstreams get what they take while others have room, seed ${seed}`, async () => {
+        const day = { seed, requestsPerSecond: 135, limitPerSecond: 4.5, limitedCount: 19, durationMs: 20_000 };
+        const { received, rejected } = await play(day);
+        // Instances learn a limit from an answer of their own here, so half of the time passes before all know it.
+        const most = Math.max(...received.map(times => mostWithin(times, limitWindowMs, 10_000)));
+        assert.ok(most <= 1.5 * day.limitPerSecond * 4 + 5, `${most}`);
+        assert.is(rejected, 0);
+        const mean = received.flat().filter(timeMs => timeMs >= 10_000).length / received.length / 10;
+        assert.ok(mean >= 0.6 * day.limitPerSecond, `${mean} a second`);
+    });
+}
+
+// Guards against requests that wait or exceed the limits where every upstream of a service has named one.
+test("requests beyond the limits of all upstreams are not sent", async () => {
+    const day = { seed: 4, requestsPerSecond: 135, limitPerSecond: 2, limitedCount: upstreamCount, durationMs: 30_000 };
+    const { received, rejected } = await play(day);
+    const most = Math.max(...received.map(times => mostWithin(times, limitWindowMs, 20_000)));
+    assert.ok(most <= 1.5 * day.limitPerSecond * 4 + 5, `${most}`);
+    assert.ok(rejected > 1_000);
+});
+
+const upstream = knownUpstream("u1").listed;
+
+const startStatements = () => {
+    const clock = new VirtualClock();
+    const shared: (number | undefined)[] = [];
+    const events: string[] = [];
+    const listed = { current: upstream };
+    const statements: UpstreamStatements = new UpstreamStatements({
+        clock,
+        log: { event: name => void events.push(name) },
+        listedOf: () => [listed.current],
+        share: sent => sent.forEach(({ limitPerSecond }) => shared.push(limitPerSecond)),
+    });
+    return { clock, statements, shared, events, listed };
+};
+
+// Guards against a limit that stays after the upstream no longer names it, and against one that is never sent again.
+test("a limit holds while it is named, and each change is sent twice", async () => {
+    const { clock, statements, shared, events } = startStatements();
+    statements.recordAnswer(upstream, { limitPerSecond: undefined });
+    assert.equal(shared, []);
+    statements.recordAnswer(upstream, { limitPerSecond: 5 });
+    await clock.advance(1_000);
+    assert.equal(shared, [5, 5]);
+    statements.recordAnswer(upstream, { limitPerSecond: 5.1 });
+    assert.equal(shared, [5, 5]);
+    await clock.advance(2_000);
+    statements.recordAnswer(upstream, { limitPerSecond: 5 });
+    assert.equal(shared, [5, 5, 5]);
+    statements.recordAnswer(upstream, { limitPerSecond: undefined });
+    await clock.advance(1_000);
+    assert.is(statements.limitOf(upstream), undefined);
+    assert.equal(shared, [5, 5, 5, undefined, undefined]);
+    assert.equal(events, ["upstream-limit", "upstream-limit"]);
+});
+
+// Guards against statements of a former process, and against older ones that arrive late.
+test("a shared statement counts for its process only, and only if it is the newest", async () => {
+    const { clock, statements, listed } = startStatements();
+    const sharedBy = (limitPerSecond: number | undefined, ageMs: number, incarnation = 0) =>
+        statements.recordShared([{ key: 0, incarnation, ageMs, limitPerSecond }]);
+    await clock.advance(10_000);
+    sharedBy(5, 100);
+    sharedBy(9, 500);
+    assert.is(statements.limitOf(upstream), 5);
+    sharedBy(7, 0, 1);
+    assert.is(statements.limitOf(upstream), 5);
+    listed.current = { ...upstream, startedMs: 1 };
+    assert.is(statements.limitOf(listed.current), undefined);
+    sharedBy(7, 0, 1);
+    assert.is(statements.limitOf(listed.current), 7);
+});
+
+// Guards against a partitioned part of the fleet that uses the whole limit, and against a limit of 0 that never ends.
+test("the room is the part of an instance that hears few others", () => {
+    assert.is(roomOf({ limitPerSecond: 11, own: 0, remote: 20 }, { live: 44, known: 44 }), 24);
+    assert.is(roomOf({ limitPerSecond: 11, own: 0, remote: 20 }, { live: 33, known: 44 }), 13);
+    assert.is(roomOf({ limitPerSecond: 11, own: 1, remote: 0 }, { live: 10, known: 44 }), 0);
+    assert.ok(roomOf({ limitPerSecond: 0, own: 0, remote: 0 }, { live: 44, known: 44 }) > 0);
+});
+
+// Guards against more requests than the room, whatever the limit and the order of events.
+test("an instance that knows all requests never exceeds a limit", () => {
+    fc.assert(fc.property(
+        fc.double({ min: 0.3, max: 50, noNaN: true }),
+        fc.array(fc.integer({ min: 0, max: 400 }), { minLength: 1, maxLength: 300 }),
+        fc.infiniteStream(fc.double({ min: 0, max: 0.999, noNaN: true })),
+        (limitPerSecond, gapsMs, randoms) => {
+            const sentMs: number[] = [];
+            let nowMs = 0;
+            for (const gapMs of gapsMs) {
+                nowMs += gapMs;
+                const own = sentMs.filter(timeMs => timeMs > nowMs - limitWindowMs).length;
+                const room = roomOf({ limitPerSecond, own, remote: 0 }, { live: 1, known: 1 });
+                if (mayReceive(room, 0, () => randoms.next().value as number)) {
+                    sentMs.push(nowMs);
+                }
+            }
+            return mostWithin(sentMs, limitWindowMs, 0) <= Math.ceil(limitPerSecond * limitWindowMs / 1_000);
+        },
+    ));
+});
+
+test.run();
--- /dev/null
+++ b/packages/gateway/src/lib/statements/willing-upstreams.ts
@@ -0,0 +1,74 @@
+/** Selects the upstreams that take a request by their own statements. */
+import type { Clock, Random, ServiceId } from "@sniperoad/core";
+import { SlidingWindowCounter } from "../rates/sliding-window-counter.js";
+import type { KnownUpstream } from "../store/upstream-registry.js";
+import { limitWindowMs, mayReceive, roomOf } from "./limit-gate.js";
+import type { FleetReach } from "./limit-gate.js";
+import type { UpstreamArrivals } from "./upstream-arrivals.js";
+import type { UpstreamStatements } from "./upstream-statements.js";
+
+/** Mean time until an instance counts what another one has sent: intervals of heartbeats with loads and of digests. */
+const reportDelayMs = 400;
+
+/** Options of {@link WillingUpstreams}. */
+export interface WillingUpstreamsOptions {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly statements: UpstreamStatements;
+    readonly arrivals: UpstreamArrivals;
+    readonly reach: () => FleetReach;
+}
+
+/**
+ * Every attempt, whether the first one, a retry or a hedge, selects its upstream among these.
+ *
+ * @example
+ * const candidates = willing.among(registry.forService(service));
+ */
+export class WillingUpstreams {
+    readonly #options: WillingUpstreamsOptions;
+    /** Attempts of this instance by service; the other instances are taken to make as many. */
+    readonly #asked = new Map<ServiceId, SlidingWindowCounter>();
+
+    constructor(options: WillingUpstreamsOptions) {
+        this.#options = options;
+    }
+
+    /** The upstreams of a service that may get one more request now. */
+    among(upstreams: readonly KnownUpstream[]): readonly KnownUpstream[] {
+        const { statements, random, reach } = this.#options;
+        const service = upstreams[0]?.listed.service;
+        if (service === undefined) {
+            return upstreams;
+        }
+        const asked = this.#askedOf(service);
+        asked.add(1);
+        if (upstreams.every(({ listed }) => statements.limitOf(listed) === undefined)) {
+            return upstreams;
+        }
+        const rooms = upstreams.map(upstream => this.#roomOf(upstream));
+        const open = rooms.filter(room => room > 0);
+        const perSecond = asked.total() * 1_000 / limitWindowMs * (reach().live - 1);
+        const unreported = perSecond * reportDelayMs / 1_000;
+        const total = open.reduce((sum, room) => sum + room, 0);
+        if (!mayReceive(total, unreported, random)) {
+            return [];
+        }
+        return upstreams.filter((_upstream, index) => mayReceive(rooms[index]!, unreported / open.length, random));
+    }
+
+    #askedOf(service: ServiceId): SlidingWindowCounter {
+        const asked = this.#asked.get(service) ?? new SlidingWindowCounter(this.#options.clock, limitWindowMs);
+        this.#asked.set(service, asked);
+        return asked;
+    }
+
+    /** Infinity for an upstream without a limit. */
+    #roomOf({ listed }: KnownUpstream): number {
+        const { statements, arrivals, reach } = this.#options;
+        const limitPerSecond = statements.limitOf(listed);
+        return limitPerSecond === undefined
+            ? Infinity
+            : roomOf({ limitPerSecond, own: arrivals.own(listed.id), remote: arrivals.remote(listed.id) }, reach());
+    }
+}
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -3,7 +3,14 @@
 import type { OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "@sniperoad/core";
 import type { HeartbeatPayload } from "../fleet/fleet-exchange.js";
 import type { CollectionState } from "../fleet/heartbeat.js";
-import type { GatewayConfig, GatewayOrganisation, GatewayRoute, KeyHash, ListedUpstream } from "../model.js";
+import type {
+    GatewayConfig,
+    GatewayOrganisation,
+    GatewayRoute,
+    KeyHash,
+    ListedUpstream,
+    UpstreamStatement,
+} from "../model.js";
 import type { KnownUpstream } from "../store/upstream-registry.js";
 
 export const reportsService = id<ServiceId>("reports");
@@ -62,6 +69,9 @@
     warmupEndMs: 0,
 });
 
+/** An answer in which the upstream states nothing about itself. */
+export const noStatement: UpstreamStatement = { limitPerSecond: undefined };
+
 const idleCollectionState: CollectionState = { revision: 0, confirmedAgeMs: undefined, reader: "idle" };
 
 /** Payload of an instance that accepts requests but has neither state nor requests. */
--- a/packages/gateway/src/lib/testing/test-fleet.ts
+++ b/packages/gateway/src/lib/testing/test-fleet.ts
@@ -8,6 +8,7 @@
 import { Roster } from "../fleet/roster.js";
 import type { GatewayInstance } from "../model.js";
 import { CurrentConfig } from "../routing/current-config.js";
+import type { SharedStatement } from "../statements/upstream-statements.js";
 import { FleetState, reviewIntervalMs } from "../store/fleet-state.js";
 import { InstanceRecords } from "../store/instance-records.js";
 import { UpstreamRegistry } from "../store/upstream-registry.js";
@@ -28,7 +29,11 @@
     /** Additions to the payload of the next heartbeat; tests change it. */
     readonly payload: { next: () => Partial<HeartbeatPayload>; };
     /** What was received from the others. */
-    readonly received: { readonly outcomes: DistributedOutcome[]; readonly successes: DigestCount[]; };
+    readonly received: {
+        readonly outcomes: DistributedOutcome[];
+        readonly successes: DigestCount[];
+        readonly statements: SharedStatement[];
+    };
     /** Announces to the others that it leaves. */
     leave(): void;
     /** Stops the instance without announcing it. */
@@ -128,7 +133,7 @@
         const log = { event: () => {} };
         const reach = { store: true, isStoreSilent: false };
         const payload = { next: (): Partial<HeartbeatPayload> => ({}) };
-        const received: TestInstance["received"] = { outcomes: [], successes: [] };
+        const received: TestInstance["received"] = { outcomes: [], successes: [], statements: [] };
         const flags = { isLeaving: false };
         const roster = new Roster(clock);
         const config = new CurrentConfig(testHash);
@@ -174,6 +179,7 @@
             onSuccesses: successes => received.successes.push(...successes),
             onRevision: (collection, revision, ageMs) => state.recordRevision(collection, revision, ageMs),
             onUpstreams: message => state.receiveUpstreamChanges(message),
+            onStatements: statements => received.statements.push(...statements),
         });
         const records = new InstanceRecords({
             self,
