--- a/packages/gateway/src/lib/request/upstream-connection-pool.test.ts
+++ b/packages/gateway/src/lib/request/upstream-connection-pool.test.ts
@@ -235,4 +235,27 @@
     });
 }
 
+// Guards against a head that breaks off and reaches the caller as an answer with an empty body.
+test("an answer that ends within its head is broken, wherever it ends", async () => {
+    const head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 3\r\nX-Last: 1\r\n\r\n";
+    for (let length = 0; length < head.length; length++) {
+        const server = createServer(socket => socket.once("data", () => socket.end(head.slice(0, length))));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+        const pool = new UpstreamConnectionPool({ clock: new VirtualClock(), codec: { decodeResponse } });
+        const { kind } = await pool.call({
+            upstream: testUpstream("u1", { address: `127.0.0.1:${(server.address() as AddressInfo).port}` }),
+            method: "POST",
+            target: "/x",
+            headers: [],
+            body: new Uint8Array(0),
+            requestId: "r1",
+            timeoutMs: 5_000,
+            isRepeatable: false,
+            signal: new AbortController().signal,
+        });
+        server.close();
+        assert.is(kind, "broken", `${length} of ${head.length} bytes`);
+    }
+});
+
 test.run();
