--- a/packages/gateway/src/lib/testing/config-days.ts
+++ b/packages/gateway/src/lib/testing/config-days.ts
@@ -1,6 +1,8 @@
-/** Plays changes of the configuration beside random faults, and finds instances where a change is late. */
+/** Plays changes of the store beside random faults, and finds instances where a change is late. */
 import type { Random } from "@sniperoad/core";
 import { seededRandom } from "@sniperoad/core/testing";
+import { sharedCollections } from "../store/state-exchange.js";
+import type { SharedCollection } from "../store/state-exchange.js";
 import { testConfig, testUpstream } from "./fixtures.js";
 import { TestFleet } from "./test-fleet.js";
 import type { TestInstance } from "./test-fleet.js";
@@ -56,7 +58,10 @@
     "compaction",
 ];
 
-/** A day: changes of the configuration with faults beside them. Times are from the end of the warm-up. */
+/**
+ * A day: changes of the configuration, each with one of an upstream, and faults beside them. Times are from the end of the
+ * warm-up.
+ */
 export interface ConfigDay {
     readonly seed: number;
     readonly instances: number;
@@ -68,6 +73,7 @@
 
 /** An instance at which a change was late. */
 export interface LateChange {
+    readonly collection: SharedCollection;
     readonly instance: string;
     readonly atMs: number;
     readonly heldVersion: number;
@@ -76,6 +82,11 @@
     readonly ageMs: number;
 }
 
+interface Change {
+    readonly version: number;
+    readonly ackedMs: number;
+}
+
 const between = (random: Random, from: number, to: number): number => from + random() * (to - from);
 
 /**
@@ -114,7 +125,7 @@
     /** Time until which the store counts as disturbed, for all instances or with a longer bound. */
     #storeDownUntilMs = -Infinity;
     #storePartialUntilMs = -Infinity;
-    readonly #changes: { readonly version: number; readonly ackedMs: number; }[] = [];
+    readonly #changes: Change[] = [];
     readonly #late = new Map<string, LateChange>();
 
     constructor(day: ConfigDay) {
@@ -137,6 +148,7 @@
                 // A store that is down takes no changes.
                 if (!store.isDown) {
                     store.put("config", "main", testConfig({ version }));
+                    store.put("upstreams", "u1", testUpstream("u1", { startedMs: version }));
                     this.#changes.push({ version, ackedMs: clock.monotonicMs() });
                 }
             })
@@ -156,16 +168,26 @@
         }
         const boundMs = applyMs + (nowMs < this.#storePartialUntilMs ? maxStretchMs : 0);
         const due = this.#changes.findLast(({ ackedMs }) => nowMs - ackedMs > boundMs);
-        for (const { self, config } of due === undefined ? [] : this.#fleet.instances) {
-            const isDisturbed = nowMs < (this.#disturbedUntilMs.get(self.peerAddress) ?? -Infinity);
-            const key = `${self.peerAddress} ${due!.version}`;
-            if (!isDisturbed && config.version < due!.version && !this.#late.has(key)) {
+        for (const instance of due === undefined ? [] : this.#fleet.instances) {
+            if (nowMs >= (this.#disturbedUntilMs.get(instance.self.peerAddress) ?? -Infinity)) {
+                this.#checkInstance(instance, due!);
+            }
+        }
+    }
+
+    #checkInstance({ self, config, upstreams }: TestInstance, due: Change): void {
+        const nowMs = this.#fleet.clock.monotonicMs();
+        const held = { config: config.version, upstreams: upstreams.all()[0]?.startedMs ?? 0 };
+        for (const collection of sharedCollections) {
+            const key = `${collection} ${self.peerAddress} ${due.version}`;
+            if (held[collection] < due.version && !this.#late.has(key)) {
                 this.#late.set(key, {
+                    collection,
                     instance: self.id,
                     atMs: Math.round(nowMs - warmUpMs),
-                    heldVersion: config.version,
-                    dueVersion: due!.version,
-                    ageMs: Math.round(nowMs - due!.ackedMs),
+                    heldVersion: held[collection],
+                    dueVersion: due.version,
+                    ageMs: Math.round(nowMs - due.ackedMs),
                 });
             }
         }
