Reject requests whose deadline a leaving instance does not reach

Cause: the handler did not know of the end. Change: SIGTERM sets it, and a request whose deadline lies after it is rejected with 503, which says that it did not run, so that the caller sends it to another instance at once.

Test: 'a leaving instance rejects a request whose deadline lies after its end'; without the check such a request is dispatched.

--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -54,6 +54,8 @@
 /** Mutable lifecycle state of an instance. */
 export interface GatewayFlags {
     isLeaving: boolean;
+    /** Monotonic time at which a leaving process ends. */
+    endsAtMs: number | undefined;
 }
 
 /** Components for communication between instances, and the state that is derived from it. */
@@ -76,6 +78,8 @@
     readonly arrivals: UpstreamArrivals;
     /** Whether requests from callers are accepted. */
     readonly isReady: () => boolean;
+    /** Monotonic time at which the process ends; undefined unless it is leaving. */
+    readonly endsAtMs: () => number | undefined;
 }
 
 /** Arguments of {@link createFleetComponents} besides the options. */
@@ -111,6 +115,7 @@
         shareStatements: heard => exchange.sendToAll({ kind: "statements", statements: heard }),
     });
     const { outcomes, crashes, rates, load, statements } = evidence;
+    const endsAtMs = (): number | undefined => flags.endsAtMs;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const state: FleetState = new FleetState({
         self,
@@ -168,7 +173,7 @@
         isLive: address => roster.isLive(address),
         contact: address => exchange.contact(address),
     });
-    return { datagrams, peers, roster, exchange, state, records, config, upstreams, ...evidence, isReady };
+    return { datagrams, peers, roster, exchange, state, records, config, upstreams, ...evidence, isReady, endsAtMs };
 };
 
 const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates => ({
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -4,7 +4,7 @@
 import { errorMessage } from "./errors.js";
 import { Directory } from "./fleet/directory.js";
 import { createFleetComponents, pruneState } from "./gateway-components.js";
-import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
+import type { FleetComponents, GatewayFlags, GatewayOptions } from "./gateway-components.js";
 import { openAuxiliaryServer } from "./http/auxiliary-server.js";
 import type { AuxiliaryServer } from "./http/auxiliary-server.js";
 import { CallerServer, defaultCallerLimits } from "./http/caller-server.js";
@@ -47,7 +47,7 @@
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
     const { clock, log, settings, headers } = options;
     const self = newInstance(settings(), options.random);
-    const flags = { isLeaving: false };
+    const flags: GatewayFlags = { isLeaving: false, endsAtMs: undefined };
     const connections = new UpstreamConnectionPool({ clock, codec: headers });
     const metrics: GatewayMetrics = new GatewayMetrics({
         configVersion: () => fleet.config.version,
@@ -85,6 +85,7 @@
         self,
         stop: () => {
             flags.isLeaving = true;
+            flags.endsAtMs = clock.monotonicMs() + settings().stopGraceSeconds * 1_000 * exitShare;
             return leave(options, { fleet, front, auxiliaryServers, stopTimers });
         },
     };
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -88,6 +88,7 @@
         utilization,
         codec: headers,
         isInitialized: () => state.isComplete,
+        endsAtMs: fleet.endsAtMs,
         fleetSize,
         unconfirmedReason: () => unconfirmedReason(settings(), state),
         onDone: (route, status, tookMs) => metrics.request(route?.id, status, tookMs),
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -20,6 +20,8 @@
 const startupWaitFraction = 0.3;
 /** Interval at which a waiting request checks whether the process is initialized. */
 const startupPollMs = 20;
+/** Retry delay of requests that another instance can take at once. */
+const elsewhereRetryMs = 20;
 /** Retry delay while the instance has no current configuration; refusals for load have their own. */
 const retryAfterMs = 250;
 
@@ -41,6 +43,8 @@
     /** Whether a configuration and a list of upstreams are loaded. */
     readonly isInitialized: () => boolean;
     readonly fleetSize: () => FleetSize;
+    /** Monotonic time at which this process ends, whatever is in flight then; undefined unless it is leaving. */
+    readonly endsAtMs: () => number | undefined;
     /** Why keys cannot be checked against a confirmed configuration; undefined when they can. */
     readonly unconfirmedReason: () => string | undefined;
     readonly onDone: (route: GatewayRoute | undefined, status: number, tookMs: number) => void;
@@ -59,7 +63,8 @@
 
 /**
  * Checks each request and sends it to an upstream. The order of the checks: a configuration is loaded, the route, the
- * key, whether the configuration is confirmed, the size, crash suspicions, and the organisation's rate.
+ * key, whether the configuration is confirmed, the size, crash suspicions, whether the process runs until the deadline,
+ * and the organisation's rate.
  *
  * @example
  * const response = await handler.handle(received);
@@ -140,6 +145,10 @@
         // `request.deadlineMs` is a duration from the time at which the headers were read.
         const availableMs = (request.deadlineMs ?? defaultDeadlineMs) - responseMarginMs;
         const deadlineAtMs = receivedMs + Math.min(availableMs, route.timeoutMs);
+        // At the end of the process it would be cut, which a caller cannot tell from a request that did not run.
+        if (deadlineAtMs > (this.#options.endsAtMs() ?? Infinity)) {
+            return this.#refusal({ type: "leaving", retryAfterMs: elsewhereRetryMs });
+        }
         const load = this.#loadOf(route, service, organisation, deadlineAtMs);
         if (organisation !== undefined) {
             rates.recordOffered(organisation.id);
