Send nothing to an upstream that has stated that it leaves

Cause: nobody read Server-Leaving. Change: it is part of the statements that instances share. An upstream that leaves is no candidate for any attempt and no room for admission, in touch or not, until its process is replaced; its idle connections are closed, and it is remembered for ten minutes after its entry is gone. Whoever holds a statement that nobody has sent for 5 to 10 s sends it again, so that instances that start later hear of it.

--- a/packages/gateway/src/lib/fleet/statement-codec.ts
+++ b/packages/gateway/src/lib/fleet/statement-codec.ts
@@ -3,17 +3,15 @@
 import { PackedReader, PackedWriter } from "./packed.js";
 import { readBytes } from "./wire-read.js";
 
-/** Number of statements in a datagram, which then fits into a packet of common links. */
-export const maxStatements = 60;
 /** Resolution of a limit, in parts of a request per second. */
 const limitSteps = 100;
 
 /** Encodes statements as bytes; {@link decodeStatements} is the inverse, with limits rounded to 0.01 a second. */
 export const encodeStatements = (statements: readonly SharedStatement[]): Uint8Array => {
     const writer = new PackedWriter();
-    for (const { key, incarnation, ageMs, limitPerSecond } of statements) {
+    for (const { key, incarnation, ageMs, limitPerSecond, isLeaving } of statements) {
         const limit = limitPerSecond === undefined ? 0 : Math.round(limitPerSecond * limitSteps) + 1;
-        writer.uint(key, 3).uint(incarnation, 4).varint(Math.round(ageMs)).varint(limit);
+        writer.uint(key, 3).uint(incarnation, 4).varint(Math.round(ageMs) * 2 + (isLeaving ? 1 : 0)).varint(limit);
     }
     return writer.bytes();
 };
@@ -21,6 +19,12 @@
 /** @throws DatagramError if the value does not match the schema */
 export const decodeStatements = (value: unknown): readonly SharedStatement[] =>
     new PackedReader(readBytes(value)).all(reader => {
-        const [key, incarnation, ageMs, limit] = [reader.uint(3), reader.uint(4), reader.varint(), reader.varint()];
-        return { key, incarnation, ageMs, limitPerSecond: limit === 0 ? undefined : (limit - 1) / limitSteps };
+        const [key, incarnation, age, limit] = [reader.uint(3), reader.uint(4), reader.varint(), reader.varint()];
+        return {
+            key,
+            incarnation,
+            ageMs: Math.floor(age / 2),
+            limitPerSecond: limit === 0 ? undefined : (limit - 1) / limitSteps,
+            isLeaving: age % 2 === 1,
+        };
     });
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -209,6 +209,7 @@
         arrivals,
         statements: new UpstreamStatements({
             clock,
+            random,
             log,
             listedOf: key => upstreamsOf(key).flatMap(upstream => upstreams.get(upstream)?.listed ?? []),
             share: shareStatements,
@@ -250,7 +251,11 @@
     floor.retain(isListed);
     statements.retain(isListed);
     arrivals.retain(isListed);
-    connections.retain(isListed);
+    connections.retain(upstream => {
+        const known = upstreams.get(upstream);
+        return known !== undefined && !statements.isLeaving(known.listed);
+    });
+    statements.renew();
 };
 
 const rateOptions = ({ rateWindowSeconds, rateOverage, rateSlack }: GatewaySettings) => ({
--- a/packages/gateway/src/lib/model.ts
+++ b/packages/gateway/src/lib/model.ts
@@ -112,6 +112,8 @@
 export interface UpstreamStatement {
     /** Requests per second that it takes from all instances together; undefined: it names no limit. */
     readonly limitPerSecond: number | undefined;
+    /** It is shutting down and takes no further requests. */
+    readonly isLeaving: boolean;
 }
 
 /** What the header fields of an upstream's response state. */
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -39,8 +39,10 @@
         random,
         shareWithin: (route, limitMs) => answerTimes.shareWithin(route, limitMs),
     });
+    const fleetSize = () => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
+    const willing = new WillingUpstreams({ clock, random, statements, arrivals, reach: fleetSize });
     const utilization = (service: ServiceId): number =>
-        utilizationOf(upstreams.forService(service), {
+        utilizationOf(willing.staying(upstreams.forService(service)), {
             inFlight: upstream => load.inFlight(upstream),
             grayProbability: upstream => gray.probability(upstream),
             isBackingOff: upstream => paths.isBackingOff(upstream),
@@ -49,8 +51,6 @@
         const { retryShare, retryBurst, retryWindowSeconds } = settings();
         return { share: retryShare, burst: retryBurst, windowMs: retryWindowSeconds * 1_000 };
     });
-    const fleetSize = () => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
-    const willing = new WillingUpstreams({ clock, random, statements, arrivals, reach: fleetSize });
     const dispatcher = new UpstreamDispatcher({
         clock,
         log,
--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -285,6 +285,9 @@
         }
         if (answer.metadata.isNotRun || answer.metadata.isFromUpstream) {
             statements.recordAnswer(listed, answer.metadata.statement);
+            if (answer.metadata.statement.isLeaving) {
+                this.#options.client.closeIdle(listed);
+            }
         }
         if (answer.metadata.isNotRun) {
             return { kind: "not-run", reason: `the upstream refused it with ${answer.status}` };
--- a/packages/gateway/src/lib/statements/upstream-statements.ts
+++ b/packages/gateway/src/lib/statements/upstream-statements.ts
@@ -1,5 +1,5 @@
 /** What upstreams state about themselves in their answers, as all instances have heard it. */
-import type { Clock, LogPort, UpstreamId } from "@sniperoad/core";
+import type { Clock, LogPort, Random, UpstreamId } from "@sniperoad/core";
 import type { ListedUpstream, UpstreamStatement } from "../model.js";
 import { nameKey } from "../name-key.js";
 
@@ -13,6 +13,13 @@
     readonly ageMs: number;
 }
 
+/** How long the statement of an upstream that leaves is kept after it is no longer listed, as its entry may reappear. */
+const leavingKeptMs = 600_000;
+/**
+ * Time after which a statement is sent again that no answer has renewed, for instances that have started since. It is
+ * spread at random, so that one instance sends it and the others see that.
+ */
+const renewMs = 5_000;
 /** Relative change of a limit from which it is sent to the other instances at once. */
 const limitChange = 0.05;
 /**
@@ -34,6 +41,7 @@
 /** Options of {@link UpstreamStatements}. */
 export interface UpstreamStatementsOptions {
     readonly clock: Clock;
+    readonly random: Random;
     readonly log: LogPort;
     /** Listed upstreams with a key; see `nameKey`. */
     readonly listedOf: (key: number) => readonly ListedUpstream[];
@@ -41,6 +49,9 @@
     readonly share: (statements: readonly SharedStatement[]) => void;
 }
 
+/** Number of statements that are sent together, which then fit into a packet of common links. */
+const maxShared = 60;
+
 /** Distinguishes the processes that run under the id of an upstream one after the other. */
 export const incarnationOf = ({ startedMs }: ListedUpstream): number => startedMs % 2 ** 32;
 
@@ -49,7 +60,7 @@
  * longer listed. The statement is not limited in time, since an upstream that gets no request cannot repeat it.
  *
  * @example
- * statements.recordAnswer(listed, { limitPerSecond: 5 });
+ * statements.recordAnswer(listed, { limitPerSecond: 5, isLeaving: false });
  * statements.limitOf(listed); // 5
  */
 export class UpstreamStatements {
@@ -71,8 +82,8 @@
         const nowMs = clock.monotonicMs();
         const previous = this.#entryOf(listed);
         const hasChanged = isChanged(previous, statement);
-        const isRepeatDue = statement.limitPerSecond !== undefined
-            && previous !== undefined
+        const isRepeatDue = previous !== undefined
+            && isAnything(statement)
             && nowMs - previous.sharedMs >= repeatMs;
         if (!hasChanged && previous === undefined) {
             return;
@@ -87,6 +98,26 @@
         }
     }
 
+    /** Whether the process of an upstream has stated that it leaves. */
+    isLeaving(listed: ListedUpstream): boolean {
+        return this.#entryOf(listed)?.isLeaving === true;
+    }
+
+    /** Sends statements again that were not sent for a while; call it periodically. */
+    renew(): void {
+        const { clock, random, share } = this.#options;
+        const sentBeforeMs = clock.monotonicMs() - renewMs;
+        const due = [...this.#entries].filter(([, entry]) =>
+            isAnything(entry) && entry.sharedMs < sentBeforeMs - renewMs * random()
+        );
+        for (const [upstream, entry] of due) {
+            this.#entries.set(upstream, { ...entry, sharedMs: clock.monotonicMs() });
+        }
+        for (let start = 0; start < due.length; start += maxShared) {
+            share(due.slice(start, start + maxShared).map(([upstream, entry]) => this.#sharedOf(upstream, entry)));
+        }
+    }
+
     /** Records statements that other instances have heard; older ones than the held one change nothing. */
     recordShared(statements: readonly SharedStatement[]): void {
         const nowMs = this.#options.clock.monotonicMs();
@@ -94,18 +125,31 @@
             for (const listed of this.#options.listedOf(key)) {
                 const previous = this.#entryOf(listed);
                 const statedMs = nowMs - ageMs;
-                if (incarnationOf(listed) === incarnation && statedMs > (previous?.statedMs ?? -Infinity)) {
+                if (incarnationOf(listed) !== incarnation) {
+                    continue;
+                }
+                if (previous === undefined || statedMs > previous.statedMs) {
                     this.#set(listed, statement, statedMs, nowMs);
                 }
+                else {
+                    this.#entries.set(listed.id, {
+                        ...previous,
+                        isLeaving: previous.isLeaving || statement.isLeaving,
+                        sharedMs: nowMs,
+                    });
+                }
             }
         }
     }
 
-    /** Removes the statements of upstreams that are no longer listed. */
+    /** Removes the statements of upstreams that are no longer listed; those that leave are kept for a while. */
     retain(isListed: (upstream: UpstreamId) => boolean): void {
-        [...this.#entries.keys()].filter(upstream => !isListed(upstream)).forEach(upstream =>
-            this.#entries.delete(upstream)
-        );
+        const keptSinceMs = this.#options.clock.monotonicMs() - leavingKeptMs;
+        for (const [upstream, { isLeaving, statedMs }] of this.#entries) {
+            if (!isListed(upstream) && !(isLeaving && statedMs >= keptSinceMs)) {
+                this.#entries.delete(upstream);
+            }
+        }
     }
 
     #entryOf(listed: ListedUpstream): Entry | undefined {
@@ -114,25 +158,37 @@
     }
 
     #set(listed: ListedUpstream, statement: UpstreamStatement, statedMs: number, sharedMs: number): void {
-        if (isChanged(this.#entryOf(listed), statement)) {
-            this.#options.log.event("upstream-limit", { upstream: listed.id, perSecond: statement.limitPerSecond });
+        const previous = this.#entryOf(listed);
+        // Leaving is final, but an answer that was on its way may not contain it yet.
+        const isLeaving = statement.isLeaving || previous?.isLeaving === true;
+        const { limitPerSecond } = statement;
+        if (isChanged(previous, { limitPerSecond, isLeaving })) {
+            this.#options.log.event("upstream-stated", { upstream: listed.id, limitPerSecond, isLeaving });
         }
-        this.#entries.set(listed.id, { ...statement, incarnation: incarnationOf(listed), statedMs, sharedMs });
+        const incarnation = incarnationOf(listed);
+        this.#entries.set(listed.id, { limitPerSecond, isLeaving, incarnation, statedMs, sharedMs });
     }
 
     #share(listed: ListedUpstream): void {
         const entry = this.#entryOf(listed);
         if (entry !== undefined) {
-            const { limitPerSecond, incarnation, statedMs } = entry;
-            const ageMs = this.#options.clock.monotonicMs() - statedMs;
-            this.#options.share([{ key: nameKey(listed.id), incarnation, ageMs, limitPerSecond }]);
+            this.#options.share([this.#sharedOf(listed.id, entry)]);
         }
     }
+
+    #sharedOf(upstream: UpstreamId, { limitPerSecond, isLeaving, incarnation, statedMs }: Entry): SharedStatement {
+        const ageMs = this.#options.clock.monotonicMs() - statedMs;
+        return { key: nameKey(upstream), incarnation, ageMs, limitPerSecond, isLeaving };
+    }
 }
 
-const isChanged = (previous: UpstreamStatement | undefined, { limitPerSecond }: UpstreamStatement): boolean => {
-    const former = previous?.limitPerSecond;
-    return former === undefined || limitPerSecond === undefined
-        ? former !== limitPerSecond
-        : Math.abs(limitPerSecond - former) > limitChange * former;
-};
+/** Whether a statement says more than that all is well. */
+const isAnything = ({ limitPerSecond, isLeaving }: UpstreamStatement): boolean =>
+    limitPerSecond !== undefined || isLeaving;
+
+const isChanged = (previous: UpstreamStatement | undefined, statement: UpstreamStatement): boolean =>
+    statement.isLeaving && previous?.isLeaving !== true
+    || hasLimitChanged(previous?.limitPerSecond, statement.limitPerSecond);
+
+const hasLimitChanged = (former: number | undefined, limit: number | undefined): boolean =>
+    former === undefined || limit === undefined ? former !== limit : Math.abs(limit - former) > limitChange * former;
--- a/packages/gateway/src/lib/statements/willing-upstreams.ts
+++ b/packages/gateway/src/lib/statements/willing-upstreams.ts
@@ -34,9 +34,16 @@
         this.#options = options;
     }
 
+    /** The upstreams of a service that have not stated that they leave. */
+    staying(upstreams: readonly KnownUpstream[]): readonly KnownUpstream[] {
+        const { statements } = this.#options;
+        return upstreams.filter(({ listed }) => !statements.isLeaving(listed));
+    }
+
     /** The upstreams of a service that may get one more request now. */
-    among(upstreams: readonly KnownUpstream[]): readonly KnownUpstream[] {
+    among(listed: readonly KnownUpstream[]): readonly KnownUpstream[] {
         const { statements, random, reach } = this.#options;
+        const upstreams = this.staying(listed);
         const service = upstreams[0]?.listed.service;
         if (service === undefined) {
             return upstreams;
