Send nothing to an upstream that has asked this instance for a pause

Cause: Retry-After was written to callers, but not read from upstreams. Change: it is a third statement, of the instance that was told only. The upstream is no candidate of any attempt and no room for admission until its end, at most 60 s; its health is not touched. Where all upstreams of a service pause, the caller is rejected at once and may return when the first one ends, if its deadline allows.

Tests: bounds of the pause, the first end among several, the retry delay of callers, values that are no delay.

--- a/packages/gateway/src/lib/admission/admission.test.ts
+++ b/packages/gateway/src/lib/admission/admission.test.ts
@@ -94,4 +94,12 @@
     assert.is(utilizationOf([], state, clock), 0);
 });
 
+// Guards against callers that return while no upstream accepts requests, or wait although that comes too late.
+test("a retry delay is not shorter than the time for which a service is closed", () => {
+    const admission = new Admission({ random: () => 0, shareWithin: () => 1 });
+    const request = { route: id<RouteId>("r"), targetLatencyMs: 300, priority: 0, leftMs: 1_500, utilization: 0 };
+    assert.is(admission.retryAfterMs(request, 400), 400);
+    assert.is(admission.retryAfterMs(request, 600), undefined);
+});
+
 test.run();
--- a/packages/gateway/src/lib/admission/admission.ts
+++ b/packages/gateway/src/lib/admission/admission.ts
@@ -93,14 +93,20 @@
         return share === undefined ? leftMs > targetLatencyMs * minLeftShare : share >= minAnswerShare;
     }
 
-    /** When the caller of a request that was refused may return; undefined if that would be in vain. */
-    retryAfterMs(request: AdmissionRequest): number | undefined {
+    /**
+     * When the caller of a request that was refused may return; undefined if that would be in vain. `closedForMs` is the
+     * time for which no upstream of the service accepts requests.
+     */
+    retryAfterMs(request: AdmissionRequest, closedForMs = 0): number | undefined {
+        if (closedForMs > request.leftMs * maxRetryShare) {
+            return undefined;
+        }
         const { priority, utilization } = request;
         const rank = Math.min(maxRank, Math.max(0, priority));
         const wantedMs = utilization < roomUtilization
             ? soonRetryMs
             : (baseRetryMs + rank * rankRetryMs) * Math.max(1, utilization);
-        return this.#spreadRetry(request, wantedMs);
+        return this.#spreadRetry(request, wantedMs, closedForMs);
     }
 
     /** When the caller of a request beyond its organisation's rate may return; undefined if that would be in vain. */
@@ -108,11 +114,11 @@
         return this.#spreadRetry(request, rateRetryMs);
     }
 
-    #spreadRetry(request: AdmissionRequest, wantedMs: number): number | undefined {
+    #spreadRetry(request: AdmissionRequest, wantedMs: number, atLeastMs = 0): number | undefined {
         const { min, max } = retrySpread;
         const { leftMs } = request;
         const spread = min + (max - min) * this.#options.random();
-        const delayMs = Math.min(wantedMs * spread, leftMs * maxRetryShare);
+        const delayMs = Math.min(Math.max(atLeastMs, wantedMs * spread), leftMs * maxRetryShare);
         return this.hasHope(request, leftMs - delayMs) ? delayMs : undefined;
     }
 }
--- a/packages/gateway/src/lib/model.ts
+++ b/packages/gateway/src/lib/model.ts
@@ -114,6 +114,8 @@
     readonly limitPerSecond: number | undefined;
     /** It is shutting down and takes no further requests. */
     readonly isLeaving: boolean;
+    /** Time for which it wants no request from this instance; undefined: it names none. */
+    readonly retryAfterMs: number | undefined;
 }
 
 /** What the header fields of an upstream's response state. */
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -42,7 +42,7 @@
     const fleetSize = () => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
     const willing = new WillingUpstreams({ clock, random, statements, arrivals, reach: fleetSize });
     const utilization = (service: ServiceId): number =>
-        utilizationOf(willing.staying(upstreams.forService(service)), {
+        utilizationOf(willing.accepting(upstreams.forService(service)), {
             inFlight: upstream => load.inFlight(upstream),
             grayProbability: upstream => gray.probability(upstream),
             isBackingOff: upstream => paths.isBackingOff(upstream),
@@ -86,6 +86,7 @@
         dispatcher,
         admission,
         utilization,
+        acceptingInMs: service => willing.acceptingInMs(upstreams.forService(service)),
         codec: headers,
         isInitialized: () => state.isComplete,
         endsAtMs: fleet.endsAtMs,
--- a/packages/gateway/src/lib/request/request-handler.test.ts
+++ b/packages/gateway/src/lib/request/request-handler.test.ts
@@ -63,6 +63,7 @@
         dispatcher: { run } as unknown as UpstreamDispatcher,
         admission: new Admission({ random, shareWithin: () => undefined }),
         utilization: (_service: ServiceId) => 0,
+        acceptingInMs: () => 0,
         codec: { refusalHeaders: (_id, retryAfterMs) => [["retry-after", String(retryAfterMs)]] },
         isInitialized: () => true,
         fleetSize: () => ({ live: 1, known: 1 }),
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -39,6 +39,8 @@
     readonly admission: Admission;
     /** See `utilizationOf`. */
     readonly utilization: (service: ServiceId) => number;
+    /** Time until an upstream of a service accepts requests; 0 if one does. */
+    readonly acceptingInMs: (service: ServiceId) => number;
     readonly codec: Pick<HeaderCodec, "refusalHeaders">;
     /** Whether a configuration and a list of upstreams are loaded. */
     readonly isInitialized: () => boolean;
@@ -187,7 +189,10 @@
             ? this.#refusal({
                 type: "no-upstream",
                 detail: `${result.reason}.`,
-                retryAfterMs: admission.retryAfterMs(this.#loadOf(route, service, organisation, deadlineAtMs)),
+                retryAfterMs: admission.retryAfterMs(
+                    this.#loadOf(route, service, organisation, deadlineAtMs),
+                    this.#options.acceptingInMs(service),
+                ),
             })
             : { kind: "dispatched", dispatched, result };
     }
--- a/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
@@ -151,7 +151,7 @@
             "an answer without the upstream's mark",
             responded(200, {
                 isFromUpstream: false,
-                statement: { limitPerSecond: 1, isLeaving: true },
+                statement: { limitPerSecond: 1, isLeaving: true, retryAfterMs: 1_000 },
             }),
         ],
         [
@@ -159,7 +159,7 @@
             responded(421, {
                 isNotRun: true,
                 isMisdirected: true,
-                statement: { limitPerSecond: 1, isLeaving: true },
+                statement: { limitPerSecond: 1, isLeaving: true, retryAfterMs: 1_000 },
             }),
         ],
     ] as const
--- a/packages/gateway/src/lib/statements/limits.test.ts
+++ b/packages/gateway/src/lib/statements/limits.test.ts
@@ -85,6 +85,7 @@
             instance.statements.recordAnswer(selected, {
                 limitPerSecond: limited.has(selected.id) ? limitPerSecond : undefined,
                 isLeaving: false,
+                retryAfterMs: undefined,
             });
         });
     };
--- a/packages/gateway/src/lib/statements/upstream-statements.test.ts
+++ b/packages/gateway/src/lib/statements/upstream-statements.test.ts
@@ -1,3 +1,5 @@
+import { id } from "@sniperoad/core";
+import type { UpstreamId } from "@sniperoad/core";
 import { VirtualClock } from "@sniperoad/core/testing";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -88,6 +90,38 @@
     assert.ok(isUsed());
 });
 
+// Guards against requests to an upstream that has asked this instance for a pause, and against one that never ends.
+test("an upstream that has asked for a pause is not used until its end", async () => {
+    const { clock, statements, shared, listed } = startStatements();
+    statements.recordAnswer(upstream, { ...noStatement, retryAfterMs: 1_500 });
+    assert.equal(shared, []);
+    await clock.advance(1_000);
+    statements.recordAnswer(upstream, { ...noStatement, retryAfterMs: 100 });
+    assert.is(statements.pausedForMs(upstream), 500);
+    await clock.advance(500);
+    assert.is(statements.pausedForMs(upstream), 0);
+    statements.recordAnswer(upstream, { ...noStatement, retryAfterMs: 1e12 });
+    assert.is(statements.pausedForMs(upstream), 60_000);
+    listed.current = { ...upstream, startedMs: 1 };
+    assert.is(statements.pausedForMs(listed.current), 0);
+});
+
+// Guards against a caller that waits in vain, or returns before any upstream of the service takes its request.
+test("a service whose upstreams all pause accepts requests when the first pause ends", () => {
+    const { clock, statements } = startStatements();
+    const other = { ...upstream, id: id<UpstreamId>("u2") };
+    const arrivals = new UpstreamArrivals({ clock, remoteInFlight: () => 0 });
+    const reach = () => ({ live: 1, known: 1 });
+    const willing = new WillingUpstreams({ clock, random: () => 0, statements, arrivals, reach });
+    const upstreams = [upstream, other].map(listed => ({ listed, warmupEndMs: 0 }));
+    statements.recordAnswer(upstream, { ...noStatement, retryAfterMs: 800 });
+    assert.is(willing.acceptingInMs(upstreams), 0);
+    assert.equal(willing.among(upstreams).map(({ listed }) => listed.id), ["u2"]);
+    statements.recordAnswer(other, { ...noStatement, retryAfterMs: 300 });
+    assert.is(willing.acceptingInMs(upstreams), 300);
+    assert.equal(willing.among(upstreams), []);
+});
+
 // Guards against an older statement that hides a newer one, or is hidden by it.
 test("a leave that another instance heard earlier counts", async () => {
     const { clock, statements } = startStatements();
--- a/packages/gateway/src/lib/statements/upstream-statements.ts
+++ b/packages/gateway/src/lib/statements/upstream-statements.ts
@@ -3,8 +3,11 @@
 import type { ListedUpstream, UpstreamStatement } from "../model.js";
 import { nameKey } from "../name-key.js";
 
+/** What a statement says to all instances. */
+type FleetStatement = Pick<UpstreamStatement, "limitPerSecond" | "isLeaving">;
+
 /** A statement of an upstream as instances send it to each other. */
-export interface SharedStatement extends UpstreamStatement {
+export interface SharedStatement extends FleetStatement {
     /** See `nameKey`. */
     readonly key: number;
     /** See {@link incarnationOf}. */
@@ -20,6 +23,8 @@
  * spread at random, so that one instance sends it and the others see that.
  */
 const renewMs = 5_000;
+/** Longest pause that an upstream can ask for, so that an absurd value does not exclude it for good. */
+const maxPauseMs = 60_000;
 /** Relative change of a limit from which it is sent to the other instances at once. */
 const limitChange = 0.05;
 /**
@@ -30,7 +35,7 @@
 /** Delay after which a changed statement is sent once more, as a datagram may be lost. */
 const resendDelayMs = 250;
 
-interface Entry extends UpstreamStatement {
+interface Entry extends FleetStatement {
     readonly incarnation: number;
     /** Monotonic time of the answer. */
     readonly statedMs: number;
@@ -49,6 +54,12 @@
     readonly share: (statements: readonly SharedStatement[]) => void;
 }
 
+interface Pause {
+    readonly incarnation: number;
+    /** Monotonic time from which the upstream takes requests again. */
+    readonly endMs: number;
+}
+
 /** Number of statements that are sent together, which then fit into a packet of common links. */
 const maxShared = 60;
 
@@ -60,12 +71,14 @@
  * longer listed. The statement is not limited in time, since an upstream that gets no request cannot repeat it.
  *
  * @example
- * statements.recordAnswer(listed, { limitPerSecond: 5, isLeaving: false });
+ * statements.recordAnswer(listed, { limitPerSecond: 5, isLeaving: false, retryAfterMs: undefined });
  * statements.limitOf(listed); // 5
  */
 export class UpstreamStatements {
     readonly #options: UpstreamStatementsOptions;
     readonly #entries = new Map<UpstreamId, Entry>();
+    /** Upstreams that want no request from this instance for a while. */
+    readonly #pauses = new Map<UpstreamId, Pause>();
 
     constructor(options: UpstreamStatementsOptions) {
         this.#options = options;
@@ -80,6 +93,7 @@
     recordAnswer(listed: ListedUpstream, statement: UpstreamStatement): void {
         const { clock } = this.#options;
         const nowMs = clock.monotonicMs();
+        this.#recordPause(listed, statement.retryAfterMs);
         const previous = this.#entryOf(listed);
         const hasChanged = isChanged(previous, statement);
         const isRepeatDue = previous !== undefined
@@ -103,6 +117,14 @@
         return this.#entryOf(listed)?.isLeaving === true;
     }
 
+    /** Time for which an upstream wants no request from this instance; 0 if it takes one. */
+    pausedForMs(listed: ListedUpstream): number {
+        const pause = this.#pauses.get(listed.id);
+        return pause?.incarnation === incarnationOf(listed)
+            ? Math.max(0, pause.endMs - this.#options.clock.monotonicMs())
+            : 0;
+    }
+
     /** Sends statements again that were not sent for a while; call it periodically. */
     renew(): void {
         const { clock, random, share } = this.#options;
@@ -144,6 +166,9 @@
 
     /** Removes the statements of upstreams that are no longer listed; those that leave are kept for a while. */
     retain(isListed: (upstream: UpstreamId) => boolean): void {
+        [...this.#pauses.keys()].filter(upstream => !isListed(upstream)).forEach(upstream =>
+            this.#pauses.delete(upstream)
+        );
         const keptSinceMs = this.#options.clock.monotonicMs() - leavingKeptMs;
         for (const [upstream, { isLeaving, statedMs }] of this.#entries) {
             if (!isListed(upstream) && !(isLeaving && statedMs >= keptSinceMs)) {
@@ -152,12 +177,26 @@
         }
     }
 
+    #recordPause(listed: ListedUpstream, retryAfterMs: number | undefined): void {
+        if (retryAfterMs === undefined) {
+            return;
+        }
+        const { clock, log } = this.#options;
+        const pausedForMs = Math.min(maxPauseMs, retryAfterMs);
+        if (this.pausedForMs(listed) === 0) {
+            log.event("upstream-paused", { upstream: listed.id, forMs: Math.round(pausedForMs) });
+        }
+        // Answers to requests that were sent together may name different times.
+        const endMs = clock.monotonicMs() + Math.max(pausedForMs, this.pausedForMs(listed));
+        this.#pauses.set(listed.id, { incarnation: incarnationOf(listed), endMs });
+    }
+
     #entryOf(listed: ListedUpstream): Entry | undefined {
         const entry = this.#entries.get(listed.id);
         return entry?.incarnation === incarnationOf(listed) ? entry : undefined;
     }
 
-    #set(listed: ListedUpstream, statement: UpstreamStatement, statedMs: number, sharedMs: number): void {
+    #set(listed: ListedUpstream, statement: FleetStatement, statedMs: number, sharedMs: number): void {
         const previous = this.#entryOf(listed);
         // Leaving is final, but an answer that was on its way may not contain it yet.
         const isLeaving = statement.isLeaving || previous?.isLeaving === true;
@@ -183,10 +222,10 @@
 }
 
 /** Whether a statement says more than that all is well. */
-const isAnything = ({ limitPerSecond, isLeaving }: UpstreamStatement): boolean =>
+const isAnything = ({ limitPerSecond, isLeaving }: FleetStatement): boolean =>
     limitPerSecond !== undefined || isLeaving;
 
-const isChanged = (previous: UpstreamStatement | undefined, statement: UpstreamStatement): boolean =>
+const isChanged = (previous: FleetStatement | undefined, statement: FleetStatement): boolean =>
     statement.isLeaving && previous?.isLeaving !== true
     || hasLimitChanged(previous?.limitPerSecond, statement.limitPerSecond);
 
--- a/packages/gateway/src/lib/statements/willing-upstreams.ts
+++ b/packages/gateway/src/lib/statements/willing-upstreams.ts
@@ -34,16 +34,25 @@
         this.#options = options;
     }
 
-    /** The upstreams of a service that have not stated that they leave. */
-    staying(upstreams: readonly KnownUpstream[]): readonly KnownUpstream[] {
+    /** The upstreams of a service that neither leave nor have asked for a pause. */
+    accepting(upstreams: readonly KnownUpstream[]): readonly KnownUpstream[] {
         const { statements } = this.#options;
-        return upstreams.filter(({ listed }) => !statements.isLeaving(listed));
+        return upstreams.filter(({ listed }) => !statements.isLeaving(listed) && statements.pausedForMs(listed) === 0);
+    }
+
+    /** Time until the first upstream of a service ends its pause; 0 if one accepts requests, or none will. */
+    acceptingInMs(upstreams: readonly KnownUpstream[]): number {
+        const { statements } = this.#options;
+        const pausesMs = upstreams
+            .filter(({ listed }) => !statements.isLeaving(listed))
+            .map(({ listed }) => statements.pausedForMs(listed));
+        return pausesMs.length === 0 ? 0 : Math.min(...pausesMs);
     }
 
     /** The upstreams of a service that may get one more request now. */
     among(listed: readonly KnownUpstream[]): readonly KnownUpstream[] {
         const { statements, random, reach } = this.#options;
-        const upstreams = this.staying(listed);
+        const upstreams = this.accepting(listed);
         const service = upstreams[0]?.listed.service;
         if (service === undefined) {
             return upstreams;
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -70,7 +70,11 @@
 });
 
 /** An answer in which the upstream states nothing about itself. */
-export const noStatement: UpstreamStatement = { limitPerSecond: undefined, isLeaving: false };
+export const noStatement: UpstreamStatement = {
+    limitPerSecond: undefined,
+    isLeaving: false,
+    retryAfterMs: undefined,
+};
 
 const idleCollectionState: CollectionState = { revision: 0, confirmedAgeMs: undefined, reader: "idle" };
 
