Use limits of upstreams to the full, and count only their room for admission

Causes: the counts held upstreams a tenth below their limits, and admission and hedging counted all slots of an upstream with a limit as room, so that nothing was rejected and hedges were added while the others were full.

The room of an upstream is what requests at its limit keep in use.

--- a/packages/gateway/src/lib/admission/admission-load.test.ts
+++ b/packages/gateway/src/lib/admission/admission-load.test.ts
@@ -121,6 +121,8 @@
         inFlight: (u: UpstreamId) => load.inFlight(u),
         grayProbability: () => 0,
         isBackingOff: () => false,
+        limitPerSecond: () => undefined,
+        answerTimeMs: undefined,
     };
 
     /** Returns 0 for an answer, otherwise when the caller may return, or undefined. */
--- a/packages/gateway/src/lib/admission/admission.test.ts
+++ b/packages/gateway/src/lib/admission/admission.test.ts
@@ -88,10 +88,15 @@
         inFlight: () => slots,
         grayProbability: (upstream: string) => upstream === "u1" ? 1 : 0,
         isBackingOff: (upstream: string) => upstream === "u2",
+        limitPerSecond: () => undefined,
+        answerTimeMs: undefined,
     };
     assert.is(utilizationOf(candidates, state, clock), 1);
     assert.is(utilizationOf(candidates, { ...state, inFlight: upstream => upstream === "u1" ? 99 : 0 }, clock), 0);
     assert.is(utilizationOf([], state, clock), 0);
+    // An upstream that takes 5 requests of 100 ms a second has work for half a slot.
+    const limited = { ...state, limitPerSecond: () => 5, answerTimeMs: 100 };
+    assert.ok(utilizationOf(candidates, limited, clock) > 2 * utilizationOf(candidates, state, clock));
 });
 
 // Guards against callers that return while no upstream accepts requests, or wait although that comes too late.
--- a/packages/gateway/src/lib/admission/service-load.ts
+++ b/packages/gateway/src/lib/admission/service-load.ts
@@ -1,5 +1,6 @@
 /** Estimates how much room the upstreams of a service have. */
 import type { Clock, UpstreamId } from "@sniperoad/core";
+import type { ListedUpstream } from "../model.js";
 import type { KnownUpstream } from "../store/upstream-registry.js";
 
 /** Fraction of an upstream's slots that are counted while it warms up. */
@@ -13,6 +14,10 @@
     readonly grayProbability: (upstream: UpstreamId) => number;
     /** Whether this instance cannot reach it at present. */
     readonly isBackingOff: (upstream: UpstreamId) => boolean;
+    /** Requests per second that it takes from all instances; undefined: as many as its slots serve. */
+    readonly limitPerSecond: (listed: ListedUpstream) => number | undefined;
+    /** Typical time of an answer of the service; undefined if it is not known. */
+    readonly answerTimeMs: number | undefined;
 }
 
 /**
@@ -24,6 +29,12 @@
 export const slotsOf = ({ listed, warmupEndMs }: KnownUpstream, nowMs: number): number =>
     warmupEndMs > nowMs ? listed.slots * warmupSlotFraction : listed.slots;
 
+/** Slots that requests at the limit of an upstream keep in use. */
+const limitedSlots = ({ listed }: KnownUpstream, { limitPerSecond, answerTimeMs }: UpstreamState): number => {
+    const limit = limitPerSecond(listed);
+    return limit === undefined || answerTimeMs === undefined ? Infinity : limit * answerTimeMs / 1_000;
+};
+
 /**
  * Requests in flight per slot over the upstreams of a service that serve requests: 1 means that all slots are in use,
  * and more that requests wait at the upstreams. It answers for load that exceeds a service as a whole, which no choice
@@ -38,7 +49,7 @@
     let [slots, inFlight] = [0, 0];
     for (const upstream of reachable) {
         const healthyShare = 1 - state.grayProbability(upstream.listed.id);
-        slots += slotsOf(upstream, nowMs) * healthyShare;
+        slots += Math.min(slotsOf(upstream, nowMs), limitedSlots(upstream, state)) * healthyShare;
         inFlight += state.inFlight(upstream.listed.id) * healthyShare;
     }
     return slots > 0 ? inFlight / slots : 0;
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -46,6 +46,8 @@
             inFlight: upstream => load.inFlight(upstream),
             grayProbability: upstream => gray.probability(upstream),
             isBackingOff: upstream => paths.isBackingOff(upstream),
+            limitPerSecond: listed => statements.limitOf(listed),
+            answerTimeMs: serviceTimes.quantile(service, 0.5),
         }, clock);
     const retryBudget = new RetryBudget(clock, () => {
         const { retryShare, retryBurst, retryWindowSeconds } = settings();
--- a/packages/gateway/src/lib/statements/limit-gate.ts
+++ b/packages/gateway/src/lib/statements/limit-gate.ts
@@ -10,6 +10,11 @@
  * Lowest limit that is applied, in requests per second. An upstream that gets no request could not raise its limit.
  */
 const minLimitPerSecond = 0.1;
+/**
+ * Share of a limit by which a window may exceed it, as requests arrive at random. Without it, upstreams would get a tenth
+ * less than they take on average.
+ */
+const randomShare = 0.12;
 
 /** What the room of an upstream with a limit depends on. */
 export interface LimitedUpstream {
@@ -33,12 +38,14 @@
  * its part of the limit; otherwise those that are not heard are taken to use their parts.
  *
  * @example
- * roomOf({ limitPerSecond: 5, own: 2, remote: 15 }, { live: 44, known: 44 }); // 3
+ * roomOf({ limitPerSecond: 5, own: 2, remote: 15 }, { live: 44, known: 44 }); // 5.4
  */
 export const roomOf = ({ limitPerSecond, own, remote }: LimitedUpstream, { live, known }: FleetReach): number => {
-    const allowed = Math.max(minLimitPerSecond, limitPerSecond) * limitWindowMs / 1_000;
-    const part = allowed / Math.max(1, known);
-    return live * 2 < known ? part - own : allowed - own - remote - (known - live) * part;
+    const mean = Math.max(minLimitPerSecond, limitPerSecond) * limitWindowMs / 1_000;
+    const part = mean / Math.max(1, known);
+    return live * 2 < known
+        ? part - own
+        : mean * (1 + randomShare) - own - remote - (known - live) * part;
 };
 
 /**
