--- a/packages/gateway/src/lib/statements/upstream-statements.test.ts
+++ b/packages/gateway/src/lib/statements/upstream-statements.test.ts
@@ -1,9 +1,11 @@
 import { id } from "@sniperoad/core";
 import type { UpstreamId } from "@sniperoad/core";
 import { VirtualClock } from "@sniperoad/core/testing";
+import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { UpstreamStatement } from "../model.js";
+import { nameKey } from "../name-key.js";
 import { knownUpstream, noStatement, TestFleet } from "../testing/index.js";
 import { UpstreamArrivals } from "./upstream-arrivals.js";
 import { UpstreamStatements } from "./upstream-statements.js";
@@ -149,6 +151,79 @@
     assert.is(shared.length, 3);
 });
 
+// Guards against any order of statements after which an upstream gets a request that it has asked not to get.
+test("no upstream gets a request after it leaves or during a pause, whatever is stated when", async () => {
+    const event = fc.record({
+        gapMs: fc.integer({ min: 0, max: 900 }),
+        name: fc.constantFrom("u1", "u2", "u3"),
+        isShared: fc.boolean(),
+        isRestarted: fc.boolean(),
+        statement: fc.record({
+            limitPerSecond: fc.option(fc.double({ min: 0, max: 50, noNaN: true }), { nil: undefined }),
+            isLeaving: fc.boolean(),
+            retryAfterMs: fc.option(fc.integer({ min: 0, max: 3_000 }), { nil: undefined }),
+        }),
+    });
+    await fc.assert(
+        fc.asyncProperty(fc.array(event, { maxLength: 60 }), async events => {
+            const clock = new VirtualClock();
+            const listed = new Map(["u1", "u2", "u3"].map(name => [name, knownUpstream(name).listed]));
+            const statements: UpstreamStatements = new UpstreamStatements({
+                clock,
+                random: () => 0.5,
+                log: { event: () => {} },
+                listedOf: key => [...listed.values()].filter(({ id: upstreamId }) => nameKey(upstreamId) === key),
+                share: () => {},
+            });
+            const arrivals = new UpstreamArrivals({ clock, remoteInFlight: () => 0 });
+            const reach = () => ({ live: 1, known: 1 });
+            const willing = new WillingUpstreams({ clock, random: () => 0.5, statements, arrivals, reach });
+            const hasLeft = new Set<string>();
+            const pauseEndMs = new Map<string, number>();
+            for (const { gapMs, name, isShared, isRestarted, statement } of events) {
+                await clock.advance(gapMs);
+                if (isRestarted) {
+                    listed.set(name, { ...listed.get(name)!, startedMs: listed.get(name)!.startedMs + 1 });
+                    hasLeft.delete(name);
+                    pauseEndMs.delete(name);
+                }
+                const current = listed.get(name)!;
+                const { limitPerSecond, isLeaving, retryAfterMs } = statement;
+                if (isShared) {
+                    const key = nameKey(name);
+                    statements.recordShared([{
+                        key,
+                        incarnation: current.startedMs,
+                        ageMs: 40,
+                        limitPerSecond,
+                        isLeaving,
+                    }]);
+                }
+                else {
+                    statements.recordAnswer(current, statement);
+                    pauseEndMs.set(
+                        name,
+                        Math.max(pauseEndMs.get(name) ?? 0, clock.monotonicMs() + (retryAfterMs ?? 0)),
+                    );
+                }
+                if (isLeaving) {
+                    hasLeft.add(name);
+                }
+                const candidates = [...listed.values()].map(upstreamListed => ({
+                    listed: upstreamListed,
+                    warmupEndMs: 0,
+                }));
+                for (const { listed: { id: received } } of willing.among(candidates)) {
+                    assert.not(hasLeft.has(received), `${received} has left`);
+                    assert.ok((pauseEndMs.get(received) ?? 0) <= clock.monotonicMs(), `${received} pauses`);
+                    arrivals.recordOwn(received);
+                }
+            }
+        }),
+        { seed: 27, numRuns: 200 },
+    );
+});
+
 // Guards against statements that do not reach every instance.
 for (const [count, zoneCount] of [[44, 4], [293, 5]] as const) {
     test(`${count} instances hear a statement within 50 ms`, async () => {
