--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -121,14 +121,11 @@
     const { outcomes, crashes, rates, load, statements } = evidence;
     const endsAtMs = (): number | undefined => flags.endsAtMs;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
+    const common = { self, clock, random, log, roster };
     const state: FleetState = new FleetState({
-        self,
-        clock,
-        random,
-        log,
+        ...common,
         store,
         peers,
-        roster,
         config,
         upstreams,
         announce: () => {
@@ -140,12 +137,8 @@
         onConfig,
     });
     const exchange: FleetExchange = new FleetExchange({
-        self,
-        clock,
-        random,
-        log,
+        ...common,
         datagrams,
-        roster,
         seeds: settings().seedPeers,
         usageWindowMs: () => settings().rateWindowSeconds * 1_000,
         takePayload: () => ({
@@ -167,16 +160,7 @@
         onUpstreams: message => state.receiveUpstreamChanges(message),
         onStatements: heard => statements.recordShared(heard),
     });
-    const records = new InstanceRecords({
-        self,
-        clock,
-        log,
-        store,
-        isReader: () => state.isReader,
-        isIsolated: () => roster.live().length === 0,
-        isLive: address => roster.isLive(address),
-        contact: address => exchange.contact(address),
-    });
+    const records = createRecords(options, setup, { roster, exchange, state });
     return {
         datagrams,
         peers,
@@ -193,6 +177,22 @@
     };
 };
 
+const createRecords = (
+    { clock, log }: GatewayOptions,
+    { self, store }: FleetSetup,
+    { roster, exchange, state }: Pick<FleetComponents, "roster" | "exchange" | "state">,
+): InstanceRecords =>
+    new InstanceRecords({
+        self,
+        clock,
+        log,
+        store,
+        isReader: () => state.isReader,
+        isIsolated: () => roster.live().length === 0,
+        isLive: address => roster.isLive(address),
+        contact: address => exchange.contact(address),
+    });
+
 const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates => ({
     usage: key => exchange().view.usage(key),
     reportDelayMs: () => exchange().reportDelayMs(),
