--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -13,14 +13,13 @@
 import type { GatewayInstance } from "./model.js";
 import { instanceKey, nameKey } from "./name-key.js";
 import { FleetRateLimiter } from "./rates/fleet-rate-limiter.js";
-import type { RemoteRates } from "./rates/fleet-rate-limiter.js";
+import type { FleetSize, RemoteRates } from "./rates/fleet-rate-limiter.js";
 import { CrashTracker } from "./request/crash-tracker.js";
 import type { HeaderCodec } from "./request/ports.js";
 import type { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
 import { CurrentConfig } from "./routing/current-config.js";
 import type { GatewaySettings } from "./settings.js";
 import { LimitMeters } from "./statements/limit-meters.js";
-import type { FleetReach } from "./statements/limit-meters.js";
 import { UpstreamStatements } from "./statements/upstream-statements.js";
 import type { SharedStatement } from "./statements/upstream-statements.js";
 import { FleetState } from "./store/fleet-state.js";
@@ -81,7 +80,7 @@
     readonly isReady: () => boolean;
     /** Monotonic time at which the process ends; undefined unless it is leaving. */
     readonly endsAtMs: () => number | undefined;
-    readonly fleetSize: () => FleetReach;
+    readonly fleetSize: () => FleetSize;
 }
 
 /** Arguments of {@link createFleetComponents} besides the options. */
@@ -106,7 +105,7 @@
     await peers.listen(host, port);
     const announce = (): void => exchange.sendHeartbeatSoon();
     const roster = new Roster(clock);
-    const fleetSize = (): FleetReach => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
+    const fleetSize = (): FleetSize => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
     const config = new CurrentConfig(sha256);
     const upstreams = new UpstreamRegistry(clock, upstream => resetUpstream(upstream, evidence, log));
     const evidence: Evidence = createEvidence(options, upstreams, {
@@ -248,7 +247,7 @@
     readonly onLoad: () => void;
     readonly remoteLoads: RemoteLoads;
     readonly remoteRates: RemoteRates;
-    readonly fleetSize: () => FleetReach;
+    readonly fleetSize: () => FleetSize;
     /** Sends statements of upstreams to all other instances. */
     readonly shareStatements: (statements: readonly SharedStatement[]) => void;
 }
--- a/packages/gateway/src/lib/statements/limit-meters.ts
+++ b/packages/gateway/src/lib/statements/limit-meters.ts
@@ -3,6 +3,7 @@
  * share of the requests that fits on average exceeds a limit of few requests per second by chance.
  */
 import type { Clock, Random, UpstreamId } from "@sniperoad/core";
+import type { FleetSize } from "../rates/fleet-rate-limiter.js";
 import { LeakyBucket } from "./leaky-bucket.js";
 
 /** Lowest limit that is applied, in requests per second. An upstream that gets no request could not raise its limit. */
@@ -12,14 +13,6 @@
 /** Time at the limit whose requests an upstream may get at once in addition, as requests arrive at random. */
 const burstSeconds = 0.6;
 
-/** The fleet as this instance sees it. */
-export interface FleetReach {
-    /** Instances that are heard, this one included. */
-    readonly live: number;
-    /** Instances that were heard in the last minute. */
-    readonly known: number;
-}
-
 /**
  * Decides whether a request may use a room. All instances see the same room, so each takes only a part of it if the
  * requests that are not reported yet may exceed it.
@@ -43,7 +36,7 @@
     readonly clock: Clock;
     /** Requests in flight from the other instances to an upstream. */
     readonly remoteInFlight: (upstream: UpstreamId) => number;
-    readonly reach: () => FleetReach;
+    readonly reach: () => FleetSize;
 }
 
 /**
--- a/packages/gateway/src/lib/statements/willing-upstreams.ts
+++ b/packages/gateway/src/lib/statements/willing-upstreams.ts
@@ -1,9 +1,10 @@
 /** Selects the upstreams that take a request by their own statements. */
 import type { Clock, Random, ServiceId } from "@sniperoad/core";
+import type { FleetSize } from "../rates/fleet-rate-limiter.js";
 import { SlidingWindowCounter } from "../rates/sliding-window-counter.js";
 import type { KnownUpstream } from "../store/upstream-registry.js";
 import { mayReceive } from "./limit-meters.js";
-import type { FleetReach, LimitMeters } from "./limit-meters.js";
+import type { LimitMeters } from "./limit-meters.js";
 import type { UpstreamStatements } from "./upstream-statements.js";
 
 /** Mean time until an instance counts what another one has sent: intervals of heartbeats with loads and of digests. */
@@ -17,7 +18,7 @@
     readonly random: Random;
     readonly statements: UpstreamStatements;
     readonly meters: LimitMeters;
-    readonly reach: () => FleetReach;
+    readonly reach: () => FleetSize;
 }
 
 /**
