--- a/review/stand-ins/server.mjs
+++ b/review/stand-ins/server.mjs
@@ -26,32 +26,21 @@
     #options;
     #running = 0;
     #waiting = [];
-    #sockets = new Set();
     #server = createServer({ requestTimeout: 0 }, (request, response) => void this.#serve(request, response));
 
     /**
-     * `options`: id, host, port, service, slots, workMs(request), bodyOf(request), and, where they fit,
-     * isUnframed, for answers without a length, mustBreakOff(), for those that are reset on the way, and onRun(request, server), called when a request begins to run.
+     * `options`: id, host, service, slots, workMs(request), bodyOf(request), and, where they fit, isUnframed, for answers
+     * without a length, and mustBreakOff(), for answers that are reset on the way.
      */
     constructor(options) {
         this.#options = options;
-        this.#server.on("connection", socket => {
-            this.#sockets.add(socket);
-            socket.once("close", () => this.#sockets.delete(socket));
-        });
     }
 
     async listen() {
-        await new Promise(resolve => this.#server.listen(this.#options.port ?? 0, this.#options.host, resolve));
+        await new Promise(resolve => this.#server.listen(0, this.#options.host, resolve));
         this.address = `${this.#options.host}:${this.#server.address().port}`;
     }
 
-    /** Ends like a process that crashes: its port refuses connections, and those that were open are reset. */
-    crash() {
-        this.#server.close();
-        this.#sockets.forEach(socket => socket.resetAndDestroy());
-    }
-
     close() {
         this.#server.closeAllConnections();
         this.#server.close();
@@ -69,7 +58,7 @@
     }
 
     async #serve(request, response) {
-        const { id, slots, workMs, bodyOf, isUnframed, mustBreakOff, onRun } = this.#options;
+        const { id, slots, workMs, bodyOf, isUnframed, mustBreakOff } = this.#options;
         const { headers } = request;
         const requestId = headers["request-id"];
         const common = { "server-load": `${this.#running},${this.#waiting.length},${slots}` };
@@ -105,7 +94,6 @@
             state: "running",
         };
         this.runs.push(run);
-        onRun?.(request, this);
         const limitMs = Number(headers["deadline-ms"] ?? 30_000);
         const wantedMs = workMs(request);
         await this.#work(response, Math.min(wantedMs, limitMs));
