--- a/packages/gateway/src/lib/fleet/datagrams.test.ts
+++ b/packages/gateway/src/lib/fleet/datagrams.test.ts
@@ -7,9 +7,10 @@
 import { idlePayload, zoneA } from "../testing/index.js";
 import { datagramVersion, decodeDatagram, direct, encodeDatagram } from "./datagrams.js";
 import type { Message } from "./datagrams.js";
+import { encodeDigest } from "./digest-codec.js";
 import { memberAgeStepMs } from "./digest.js";
 import type { ZoneDigest, ZoneLoads } from "./digest.js";
-import { omittedEntryCount } from "./heartbeat-codec.js";
+import { encodeHeartbeat, omittedEntryCount } from "./heartbeat-codec.js";
 import type { Heartbeat } from "./heartbeat.js";
 
 const info: GatewayInstance = {
@@ -62,6 +63,13 @@
     { kind: "heartbeat", purpose: "hello", isUrgent: true, heartbeat },
     { kind: "digest", digest },
     { kind: "digest", digest: { ...digest, usage: undefined } },
+    { kind: "digest", digest: { ...digest, evacuations: collection } },
+    {
+        kind: "heartbeat",
+        purpose: "report",
+        isUrgent: false,
+        heartbeat: { ...heartbeat, evacuations: { revision: 2 ** 33 + 5, confirmedAgeMs: 1, reader: "working" } },
+    },
     { kind: "loads", loads },
     {
         kind: "outcomes",
@@ -90,6 +98,11 @@
     });
 }
 
+// Guards against larger datagrams where zones are not evacuated.
+test("heartbeats and digests have a field for evacuations only where there is a state of them", () => {
+    assert.equal([encodeHeartbeat(heartbeat).length, encodeDigest(digest).length], [12, 7]);
+});
+
 const encoder = new Encoder({ useRecords: false });
 const datagramOf = (message: unknown): Buffer => encoder.encode([datagramVersion, false, [], encoder.encode(message)]);
 const digestFields = (replaced: Record<number, unknown>): unknown[] => {
--- a/packages/gateway/src/lib/fleet/digest-codec.ts
+++ b/packages/gateway/src/lib/fleet/digest-codec.ts
@@ -34,6 +34,7 @@
     encodeCollection(digest.config),
     encodeCollection(digest.upstreams),
     digest.usage === undefined ? null : pack(digest.usage, writeUsage),
+    ...(digest.evacuations === undefined ? [] : [encodeCollection(digest.evacuations)]),
 ];
 
 /**
@@ -42,7 +43,9 @@
  * @throws DatagramError if the value does not match the schema
  */
 export const decodeDigest = (value: unknown): ZoneDigest => {
-    const [aggregator, sequence, coverageMs, members, config, upstreams, usage] = readList(value, { length: 7 });
+    const [aggregator, sequence, coverageMs, members, config, upstreams, usage, evacuations] = readList(value, {
+        maxLength: 8,
+    });
     return {
         aggregator: decodeInfo(aggregator),
         sequence: readCount(sequence),
@@ -60,6 +63,7 @@
         config: decodeCollection(config),
         upstreams: decodeCollection(upstreams),
         usage: usage === null ? undefined : unpack(usage, readUsage),
+        ...(evacuations === undefined ? {} : { evacuations: decodeCollection(evacuations) }),
     };
 };
 
--- a/packages/gateway/src/lib/fleet/digest-publisher.ts
+++ b/packages/gateway/src/lib/fleet/digest-publisher.ts
@@ -1,14 +1,13 @@
 /** Distributes what this instance receives as an aggregator of its zone. */
 import type { Clock, Random, Timer } from "@sniperoad/core";
 import type { GatewayInstance } from "../model.js";
-import type { SharedCollection } from "../store/state-messages.js";
 import { rankAggregators } from "./aggregator-selector.js";
 import { maxIdentities, maxOutcomes } from "./datagrams.js";
 import type { ZoneDigest, ZoneLoads } from "./digest.js";
 import type { Distributor } from "./distributor.js";
 import { EarliestTimer } from "./earliest-timer.js";
 import { instanceInfo } from "./heartbeat.js";
-import type { CollectionState, Heartbeat } from "./heartbeat.js";
+import type { CollectionStates, Heartbeat } from "./heartbeat.js";
 import { ZoneAggregator } from "./zone-aggregator.js";
 import type { LoadsReceivers, OutcomeBatch } from "./zone-aggregator.js";
 
@@ -34,7 +33,7 @@
     readonly intervalMs: () => number;
     /** Minimum time between distributions of outcomes. */
     readonly urgentGapMs: (isStandby: boolean) => number;
-    readonly collections: () => Readonly<Record<SharedCollection, CollectionState>>;
+    readonly collections: () => CollectionStates;
     /** Processes what this instance distributes to the others. */
     readonly onDigest: (digest: ZoneDigest) => void;
     readonly onLoads: (loads: ZoneLoads) => void;
--- a/packages/gateway/src/lib/fleet/digest.ts
+++ b/packages/gateway/src/lib/fleet/digest.ts
@@ -59,6 +59,8 @@
     readonly members: readonly DigestMember[];
     readonly config: DigestCollection;
     readonly upstreams: DigestCollection;
+    /** Undefined where zones are not evacuated. */
+    readonly evacuations?: DigestCollection | undefined;
     /** Undefined in the digest of a standby, since the other aggregator of the zone reports the same requests. */
     readonly usage: readonly DigestUsage[] | undefined;
 }
--- a/packages/gateway/src/lib/fleet/discovery.ts
+++ b/packages/gateway/src/lib/fleet/discovery.ts
@@ -1,11 +1,10 @@
 /** Discovers other instances and spreads their identities. */
 import type { Clock, Random } from "@sniperoad/core";
 import type { GatewayInstance } from "../model.js";
-import type { SharedCollection } from "../store/state-messages.js";
 import { rankAggregators } from "./aggregator-selector.js";
 import { direct, maxIdentities, maxRequestedKeys } from "./datagrams.js";
 import type { HeartbeatPurpose, Message } from "./datagrams.js";
-import type { CollectionState, Heartbeat } from "./heartbeat.js";
+import type { CollectionStates, Heartbeat } from "./heartbeat.js";
 import type { DatagramPort } from "./ports.js";
 import type { MemberState, Roster } from "./roster.js";
 
@@ -32,7 +31,7 @@
     /** Peer addresses of instances to contact first. */
     readonly seeds: readonly string[];
     readonly ownState: () => MemberState;
-    readonly collections: () => Readonly<Record<SharedCollection, CollectionState>>;
+    readonly collections: () => CollectionStates;
     /** Peer addresses of the aggregators that this instance uses. */
     readonly aggregatorAddresses: () => readonly string[];
 }
--- a/packages/gateway/src/lib/fleet/fleet-exchange.ts
+++ b/packages/gateway/src/lib/fleet/fleet-exchange.ts
@@ -3,6 +3,7 @@
 import type { GatewayInstance } from "../model.js";
 import { instanceKey } from "../name-key.js";
 import type { SharedStatement } from "../statements/upstream-statements.js";
+import { sharedCollections } from "../store/state-messages.js";
 import type { SharedCollection } from "../store/state-messages.js";
 import { AggregatorSelector } from "./aggregator-selector.js";
 import { direct } from "./datagrams.js";
@@ -16,7 +17,7 @@
 import { FleetView } from "./fleet-view.js";
 import { omittedEntryCount } from "./heartbeat-codec.js";
 import { instanceInfo } from "./heartbeat.js";
-import type { CollectionState, Heartbeat } from "./heartbeat.js";
+import type { CollectionStates, Heartbeat } from "./heartbeat.js";
 import type { DatagramPort } from "./ports.js";
 import { RosterUpdater } from "./roster-updater.js";
 import type { Member, Roster } from "./roster.js";
@@ -55,7 +56,7 @@
     readonly usageWindowMs: () => number;
     /** Provides the payload of the next heartbeat, and forgets what is reported only once. */
     readonly takePayload: () => HeartbeatPayload;
-    readonly collections: () => Readonly<Record<SharedCollection, CollectionState>>;
+    readonly collections: () => CollectionStates;
     /** Called with the outcomes and crashes of other instances, possibly repeatedly. */
     readonly onOutcomes: (batch: OutcomeBatch) => void;
     readonly onSuccesses: (successes: readonly DigestCount[]) => void;
@@ -292,8 +293,12 @@
         const key = instanceKey(heartbeat.id);
         roster.learn(instanceInfo(heartbeat));
         this.#rosterUpdater.recordHeard(key, instanceInfo(heartbeat), heartbeat, 0);
-        for (const collection of ["config", "upstreams"] as const) {
-            const { revision, confirmedAgeMs, reader } = heartbeat[collection];
+        for (const collection of sharedCollections) {
+            const stated = heartbeat[collection];
+            if (stated === undefined) {
+                continue;
+            }
+            const { revision, confirmedAgeMs, reader } = stated;
             roster.recordRevision(key, collection, revision);
             roster.recordReader(key, collection, reader, 0);
             onRevision(collection, revision, confirmedAgeMs);
@@ -335,8 +340,7 @@
                 this.#discovery.recordUnidentified(member.key, aggregator);
             }
         }
-        this.#rosterUpdater.applyCollection("config", digest);
-        this.#rosterUpdater.applyCollection("upstreams", digest);
+        sharedCollections.forEach(collection => this.#rosterUpdater.applyCollection(collection, digest));
         onSuccesses(this.view.apply(digest));
     }
 
--- a/packages/gateway/src/lib/fleet/heartbeat-codec.ts
+++ b/packages/gateway/src/lib/fleet/heartbeat-codec.ts
@@ -60,6 +60,7 @@
     fitting(heartbeat.crashes, ({ fingerprint, upstream }) => fingerprint + upstream).map(
         entry => [entry.sequence, entry.fingerprint, entry.upstream],
     ),
+    ...(heartbeat.evacuations === undefined ? [] : [encodeCollectionState(heartbeat.evacuations)]),
 ];
 
 /**
@@ -81,7 +82,8 @@
         successes,
         outcomes,
         crashes,
-    ] = readList(value, { length: 12 });
+        evacuations,
+    ] = readList(value, { maxLength: 13 });
     return {
         ...decodeInfo(info),
         sequence: readCount(sequence),
@@ -107,6 +109,7 @@
             fingerprint: readText(fingerprint, maxAddressLength),
             upstream: readText<UpstreamId>(upstream, maxNameLength),
         })),
+        ...(evacuations === undefined ? {} : { evacuations: decodeCollectionState(evacuations) }),
     };
 };
 
--- a/packages/gateway/src/lib/fleet/heartbeat.ts
+++ b/packages/gateway/src/lib/fleet/heartbeat.ts
@@ -11,6 +11,14 @@
     readonly reader: ReaderState;
 }
 
+/** The sender's copies of all collections that it keeps. */
+export interface CollectionStates {
+    readonly config: CollectionState;
+    readonly upstreams: CollectionState;
+    /** Undefined where zones are not evacuated. */
+    readonly evacuations?: CollectionState | undefined;
+}
+
 /**
  * How an instance reads a collection from the store: it does not (`idle`), it has had no answer yet (`starting`), the
  * store answers (`working`), or an answer is overdue or calls fail (`failing`).
@@ -61,14 +69,12 @@
 }
 
 /** What an instance sends to its aggregators periodically, and early when something urgent has changed. */
-export interface Heartbeat extends GatewayInstance {
+export interface Heartbeat extends GatewayInstance, CollectionStates {
     /** Increases by one with each heartbeat of the sender. */
     readonly sequence: number;
     /** Whether the sender accepts requests from callers. */
     readonly isReady: boolean;
     readonly isLeaving: boolean;
-    readonly config: CollectionState;
-    readonly upstreams: CollectionState;
     readonly usage: readonly OrganisationUsage[];
     /** Whether the usage contains new requests of an organisation near its limit, which others must know soon. */
     readonly hasScarceUsage: boolean;
--- a/packages/gateway/src/lib/fleet/roster-updater.ts
+++ b/packages/gateway/src/lib/fleet/roster-updater.ts
@@ -35,7 +35,11 @@
 
     /** Records the revision, holders and readers that a digest states for a collection. */
     applyCollection(collection: SharedCollection, digest: ZoneDigest): void {
-        const { revision, confirmedAgeMs, holders, readers } = digest[collection];
+        const stated = digest[collection];
+        if (stated === undefined) {
+            return;
+        }
+        const { revision, confirmedAgeMs, holders, readers } = stated;
         holders.forEach(key => this.#roster.recordRevision(key, collection, revision));
         const states = new Map(readers.map(({ key, state }) => [key, state]));
         digest.members.forEach(({ key, ageMs }) =>
--- a/packages/gateway/src/lib/fleet/roster.ts
+++ b/packages/gateway/src/lib/fleet/roster.ts
@@ -64,7 +64,7 @@
     readonly #identities = new Map<number, KnownIdentity>();
     /** By peer address, so that a restarted process replaces the previous one. */
     readonly #members = new Map<string, MutableMember>();
-    readonly #newestRevisions: Record<SharedCollection, number> = { config: 0, upstreams: 0 };
+    readonly #newestRevisions: Record<SharedCollection, number> = { config: 0, upstreams: 0, evacuations: 0 };
     #live: { readonly atMs: number; readonly members: readonly Member[]; } | undefined;
 
     constructor(clock: Clock) {
@@ -109,9 +109,9 @@
                 isReady,
                 isLeaving,
                 heardMs,
-                revisions: { config: 0, upstreams: 0 },
-                readers: { config: "idle", upstreams: "idle" },
-                readerStatedMs: { config: -Infinity, upstreams: -Infinity },
+                revisions: { config: 0, upstreams: 0, evacuations: 0 },
+                readers: { config: "idle", upstreams: "idle", evacuations: "idle" },
+                readerStatedMs: { config: -Infinity, upstreams: -Infinity, evacuations: -Infinity },
             });
         }
         else if (member.info.id === info.id && heardMs >= member.heardMs) {
--- a/packages/gateway/src/lib/fleet/zone-aggregator.ts
+++ b/packages/gateway/src/lib/fleet/zone-aggregator.ts
@@ -13,7 +13,7 @@
     ZoneDigest,
     ZoneLoads,
 } from "./digest.js";
-import type { CollectionState, Heartbeat, UpstreamCount } from "./heartbeat.js";
+import type { CollectionState, CollectionStates, Heartbeat, UpstreamCount } from "./heartbeat.js";
 
 /** Number of holders of a collection that a digest names. */
 const maxHolders = 6;
@@ -64,7 +64,7 @@
     readonly clock: Clock;
     readonly random: Random;
     /** State of the collections of this instance, which the digest states. */
-    readonly collections: () => Readonly<Record<SharedCollection, CollectionState>>;
+    readonly collections: () => CollectionStates;
 }
 
 /**
@@ -131,8 +131,8 @@
             || previous.heartbeat.isReady !== heartbeat.isReady
             || previous.heartbeat.isLeaving !== heartbeat.isLeaving;
         const hasReaderFailed = sharedCollections.some(collection =>
-            heartbeat[collection].reader === "failing"
-            && previous?.heartbeat[collection].reader !== "failing"
+            heartbeat[collection]?.reader === "failing"
+            && previous?.heartbeat[collection]?.reader !== "failing"
         );
         return { hasMemberChanged, isNew, hasReaderFailed };
     }
@@ -159,6 +159,9 @@
             })),
             config: this.#collection("config", held.config, current),
             upstreams: this.#collection("upstreams", held.upstreams, current),
+            ...(held.evacuations === undefined
+                ? {}
+                : { evacuations: this.#collection("evacuations", held.evacuations, current) }),
             // Requests of an instance that has just failed still count for the rates.
             usage: isStandby
                 ? undefined
@@ -233,13 +236,16 @@
     ): DigestCollection {
         const { self, random } = this.#options;
         const holders = reporters
-            .filter(({ heartbeat }) => heartbeat[collection].revision >= revision && heartbeat.id !== self.id)
+            .filter(({ heartbeat }) => (heartbeat[collection]?.revision ?? 0) >= revision && heartbeat.id !== self.id)
             .map(({ heartbeat }) => instanceKey(heartbeat.id));
         const first = Math.floor(random() * holders.length);
         const rotated = [...holders.slice(first), ...holders.slice(0, first)].slice(0, maxHolders - 1);
         const readers = reporters
-            .filter(({ heartbeat }) => heartbeat[collection].reader !== "idle")
-            .map(({ heartbeat }) => ({ key: instanceKey(heartbeat.id), state: heartbeat[collection].reader }));
+            .map(({ heartbeat }) => ({
+                key: instanceKey(heartbeat.id),
+                state: heartbeat[collection]?.reader ?? "idle",
+            }))
+            .filter(({ state }) => state !== "idle");
         return { revision, confirmedAgeMs, holders: revision > 0 ? [instanceKey(self.id), ...rotated] : [], readers };
     }
 
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -26,6 +26,7 @@
 import { InstanceRecords } from "./store/instance-records.js";
 import type { StorePort } from "./store/ports.js";
 import { UpstreamRegistry } from "./store/upstream-registry.js";
+import { EvacuationRegistry } from "./store/zone-evacuations.js";
 
 const bytesPerMegabit = 125_000;
 
@@ -70,6 +71,8 @@
     readonly records: InstanceRecords;
     readonly config: CurrentConfig;
     readonly upstreams: UpstreamRegistry;
+    /** Undefined where zones are not evacuated. */
+    readonly evacuations: EvacuationRegistry | undefined;
     readonly gray: GrayFailureEstimator;
     readonly load: FleetLoad;
     readonly rates: FleetRateLimiter;
@@ -110,6 +113,7 @@
     const fleetSize = (): FleetSize => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
     const config = new CurrentConfig(sha256);
     const upstreams = new UpstreamRegistry(clock, upstream => resetUpstream(upstream, evidence, log));
+    const evacuations = createEvacuations(options);
     const evidence: Evidence = createEvidence(options, upstreams, {
         ownKey: instanceKey(self.id),
         announce,
@@ -120,7 +124,6 @@
         shareStatements: heard => exchange.sendToAll({ kind: "statements", statements: heard }),
     });
     const { outcomes, crashes, rates, load, statements } = evidence;
-    const endsAtMs = (): number | undefined => flags.endsAtMs;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const common = { self, clock, random, sha256, log, roster };
     const state: FleetState = new FleetState({
@@ -129,10 +132,8 @@
         peers,
         config,
         upstreams,
-        announce: () => {
-            announce();
-            exchange.announceState();
-        },
+        evacuations,
+        announce: () => announceState(exchange),
         sendToAll: message => exchange.sendToAll(message),
         digestIntervalMs: () => exchange.digestIntervalMs(),
         transferBytesPerSecond: () => settings().linkMbps * bytesPerMegabit * settings().transferLinkShare,
@@ -172,13 +173,25 @@
         records,
         config,
         upstreams,
+        evacuations,
         ...evidence,
         isReady,
-        endsAtMs,
+        endsAtMs: () => flags.endsAtMs,
         fleetSize,
     };
 };
 
+/** Notifies the other instances immediately of a new state, also as an aggregator. */
+const announceState = (exchange: FleetExchange): void => {
+    exchange.sendHeartbeatSoon();
+    exchange.announceState();
+};
+
+const createEvacuations = ({ clock, log, settings }: GatewayOptions): EvacuationRegistry | undefined => {
+    const boundMs = settings().zoneEvacuationMs;
+    return boundMs === undefined ? undefined : new EvacuationRegistry({ clock, log, boundMs });
+};
+
 const createRecords = (
     { clock, log }: GatewayOptions,
     { self, store }: FleetSetup,
@@ -261,9 +274,9 @@
     gray.reset(upstream);
 };
 
-/** Removes the state of upstreams that are no longer listed. */
+/** Removes the state of upstreams that are no longer listed, and idle connections to those that must get no requests. */
 export const pruneState = (
-    { upstreams, gray, floor, statements, meters }: FleetComponents,
+    { upstreams, evacuations, gray, floor, statements, meters }: FleetComponents,
     connections: UpstreamConnectionPool,
 ): void => {
     const isListed = (upstream: Parameters<UpstreamRegistry["get"]>[0]): boolean =>
@@ -277,7 +290,9 @@
     });
     connections.retain(upstream => {
         const known = upstreams.get(upstream);
-        return known !== undefined && !statements.isLeaving(known.listed);
+        return known !== undefined
+            && !statements.isLeaving(known.listed)
+            && evacuations?.isEvacuated(known.listed.zone) !== true;
     });
     statements.renew();
 };
--- a/packages/gateway/src/lib/model.ts
+++ b/packages/gateway/src/lib/model.ts
@@ -80,6 +80,11 @@
     readonly startedMs: number;
 }
 
+/** A zone that the operator empties: its upstreams must not receive requests. */
+export interface Evacuation {
+    readonly zone: ZoneId;
+}
+
 /** Identity and addresses of one instance. */
 export interface GatewayInstance {
     /** Includes an incarnation, so a restarted process has a new id. */
--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -10,6 +10,7 @@
     /** Seconds for which a newer configuration has been known than the one in force. */
     readonly configBehindSeconds: () => number;
     readonly upstreams: () => number;
+    readonly evacuatedZones: () => number;
     readonly instancesHeard: () => number;
     readonly isReady: () => boolean;
     readonly inFlight: () => number;
@@ -56,6 +57,7 @@
             sources.configBehindSeconds,
         );
         this.#gauge("sniperoad_upstreams", "Upstreams listed", sources.upstreams);
+        this.#gauge("sniperoad_evacuated_zones", "Zones whose upstreams get no requests", sources.evacuatedZones);
         this.#gauge("sniperoad_instances_heard", "Other instances heard", sources.instancesHeard);
         this.#gauge("sniperoad_ready", "1 if callers are taken", () => sources.isReady() ? 1 : 0);
         this.#gauge("sniperoad_in_flight", "Requests at upstreams", sources.inFlight);
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -31,6 +31,7 @@
 ): RequestComponents => {
     const { clock, random, log, sha256, headers, settings } = options;
     const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters } = fleet;
+    const { evacuations, fleetSize: reach } = fleet;
     const paths = new PathBackoff(clock);
     const answerTimes = new AnswerTimes<RouteId>(clock);
     const serviceTimes = new AnswerTimes<ServiceId>(clock);
@@ -38,7 +39,7 @@
         random,
         shareWithin: (route, limitMs) => answerTimes.shareWithin(route, limitMs),
     });
-    const willing = new WillingUpstreams({ clock, random, statements, meters, reach: fleet.fleetSize });
+    const willing = new WillingUpstreams({ clock, random, statements, meters, reach, evacuations });
     const utilization = (service: ServiceId): number =>
         utilizationOf(willing.accepting(upstreams.forService(service)), {
             inFlight: upstream => load.inFlight(upstream),
--- a/packages/gateway/src/lib/settings-file.ts
+++ b/packages/gateway/src/lib/settings-file.ts
@@ -9,7 +9,7 @@
 /** Interval between reads of the file, which may change without a signal. */
 const readIntervalMs = 2_000;
 
-/** Fields that take effect only at startup: identity and addresses. */
+/** Fields that take effect only at startup: identity, addresses, and which collections are read. */
 const startupFields: readonly (keyof GatewaySettings)[] = [
     "instance",
     "zone",
@@ -24,6 +24,7 @@
     "memoryMb",
     "processorShare",
     "processorSpeed",
+    "zoneEvacuationMs",
 ];
 
 /** Options of {@link SettingsFile}. */
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -56,6 +56,8 @@
     processorSpeed: positive.default(1),
     /** Share of a service's upstreams that must receive requests even while some of its requests fail. */
     floorShare: z.number().min(0).max(1),
+    /** Time within which the evacuation of a zone must be in force; without it, evacuations are not read. */
+    zoneEvacuationMs: positive.optional(),
 });
 
 /** Validated settings. */
--- a/packages/gateway/src/lib/statements/willing-upstreams.ts
+++ b/packages/gateway/src/lib/statements/willing-upstreams.ts
@@ -1,8 +1,10 @@
-/** Selects the upstreams that take a request by their own statements. */
+/** Selects the upstreams that take a request by their own statements and the state of their zones. */
 import type { Clock, Random, ServiceId } from "@sniperoad/core";
 import type { FleetSize } from "../rates/fleet-rate-limiter.js";
 import { SlidingWindowCounter } from "../rates/sliding-window-counter.js";
 import type { KnownUpstream } from "../store/upstream-registry.js";
+import { noEvacuations } from "../store/zone-evacuations.js";
+import type { ZoneEvacuations } from "../store/zone-evacuations.js";
 import { mayReceive } from "./limit-meters.js";
 import type { LimitMeters } from "./limit-meters.js";
 import type { UpstreamStatements } from "./upstream-statements.js";
@@ -19,6 +21,8 @@
     readonly statements: UpstreamStatements;
     readonly meters: LimitMeters;
     readonly reach: () => FleetSize;
+    /** None if undefined. */
+    readonly evacuations?: ZoneEvacuations | undefined;
 }
 
 /**
@@ -36,18 +40,25 @@
         this.#options = options;
     }
 
-    /** The upstreams of a service that neither leave nor have asked for a pause. */
+    /** The upstreams of a service that neither leave, nor have asked for a pause, nor are in an evacuated zone. */
     accepting(upstreams: readonly KnownUpstream[]): readonly KnownUpstream[] {
-        const { statements } = this.#options;
-        return upstreams.filter(({ listed }) => !statements.isLeaving(listed) && statements.pausedForMs(listed) === 0);
+        const { statements, evacuations = noEvacuations } = this.#options;
+        return upstreams.filter(({ listed }) =>
+            !evacuations.isEvacuated(listed.zone)
+            && !statements.isLeaving(listed)
+            && statements.pausedForMs(listed) === 0
+        );
     }
 
-    /** Time until the first upstream of a service ends its pause; 0 if one accepts requests, or none will. */
+    /**
+     * Time until the first upstream of a service ends its pause; 0 if one accepts requests, or none will. Infinity if all
+     * that may are in evacuated zones, since it is not known when an evacuation ends.
+     */
     acceptingInMs(upstreams: readonly KnownUpstream[]): number {
-        const { statements } = this.#options;
+        const { statements, evacuations = noEvacuations } = this.#options;
         const pausesMs = upstreams
             .filter(({ listed }) => !statements.isLeaving(listed))
-            .map(({ listed }) => statements.pausedForMs(listed));
+            .map(({ listed }) => evacuations.isEvacuated(listed.zone) ? Infinity : statements.pausedForMs(listed));
         return pausesMs.length === 0 ? 0 : Math.min(...pausesMs);
     }
 
--- a/packages/gateway/src/lib/store/collection-reader.ts
+++ b/packages/gateway/src/lib/store/collection-reader.ts
@@ -4,7 +4,7 @@
 import type { ReaderState } from "../fleet/heartbeat.js";
 import type { CollectionName, Collections, StoreChanges, StorePort, StoreSnapshot } from "./ports.js";
 
-/** Timeout of a watch. Each response confirms the revision, so an outage is detected soon after this time. */
+/** Timeout of a watch, unless stated otherwise. Each response confirms the revision, so an outage is detected soon after this time. */
 export const watchWaitMs = 700;
 /** Time without an answer, beyond that of a watch, after which a reader is failing; a slow store takes half of it. */
 const overdueMs = 350;
@@ -30,6 +30,8 @@
     readonly clock: Clock;
     readonly log: LogPort;
     readonly listener: CollectionListener<Collections[Name]>;
+    /** Timeout of a watch; {@link watchWaitMs} if undefined. */
+    readonly watchWaitMs?: number | undefined;
     /** Called when the reader begins or ceases to fail, which others must know soon. */
     readonly onFailingChange: () => void;
 }
@@ -112,8 +114,8 @@
 
     /** Makes one list or watch call. Returns whether a watch returned changes. */
     async #readOnce(generation: number): Promise<boolean> {
-        const { collection, store, listener } = this.#options;
-        this.#expectAnswer(this.#cursor === undefined ? 0 : watchWaitMs);
+        const { collection, store, listener, watchWaitMs: waitMs = watchWaitMs } = this.#options;
+        this.#expectAnswer(this.#cursor === undefined ? 0 : waitMs);
         const onProgress = (): void => {
             if (generation === this.#generation) {
                 this.#expectAnswer(0);
@@ -127,7 +129,7 @@
             }
             return false;
         }
-        const changes = await store.watch(collection, this.#cursor, watchWaitMs, onProgress);
+        const changes = await store.watch(collection, this.#cursor, waitMs, onProgress);
         if (generation === this.#generation) {
             this.#cursor = changes.revision;
             listener.onChanges(changes);
--- a/packages/gateway/src/lib/store/fleet-state.ts
+++ b/packages/gateway/src/lib/store/fleet-state.ts
@@ -1,24 +1,26 @@
-/** Keeps the configuration and the upstream list current, from the store or from other instances. */
-import { id } from "@sniperoad/core";
-import type { Clock, LogPort, PeerPort, Random, Sha256, UpstreamId } from "@sniperoad/core";
+/** Keeps the collections of the store current, from the store or from other instances. */
+import type { Clock, LogPort, PeerPort, Random, Sha256 } from "@sniperoad/core";
 import { errorMessage } from "../errors.js";
-import { maxUpstreamChanges } from "../fleet/datagrams.js";
-import type { UpstreamChange, UpstreamsMessage } from "../fleet/datagrams.js";
-import type { CollectionState, ReaderState } from "../fleet/heartbeat.js";
+import type { UpstreamsMessage } from "../fleet/datagrams.js";
+import type { CollectionState, CollectionStates, ReaderState } from "../fleet/heartbeat.js";
 import type { Roster } from "../fleet/roster.js";
-import type { GatewayConfig, GatewayInstance, ListedUpstream } from "../model.js";
+import type { GatewayConfig, GatewayInstance } from "../model.js";
 import { instanceKey } from "../name-key.js";
 import type { CurrentConfig } from "../routing/current-config.js";
 import { CollectionReader } from "./collection-reader.js";
 import { ElectedReader } from "./elected-reader.js";
-import type { StoreChange, StoreChanges, StorePort, StoreSnapshot } from "./ports.js";
-import { decodeSharedConfig, decodeSharedUpstream, decodeSharedUpstreams } from "./shared-state.js";
+import type { HeldCollection, HoldingContext } from "./held-collection.js";
+import { HeldConfig } from "./held-config.js";
+import { evacuationWatchWaitMs, HeldEvacuations } from "./held-evacuations.js";
+import { HeldUpstreams } from "./held-upstreams.js";
+import type { StorePort } from "./ports.js";
 import { StateExchange } from "./state-exchange.js";
 import type { SharedState, StateHolder } from "./state-exchange.js";
 import { StateLag } from "./state-lag.js";
 import type { SharedCollection } from "./state-messages.js";
 import { TransferPacer } from "./transfer-pacer.js";
-import type { UpstreamDelta, UpstreamRegistry } from "./upstream-registry.js";
+import type { UpstreamRegistry } from "./upstream-registry.js";
+import type { EvacuationRegistry } from "./zone-evacuations.js";
 
 /**
  * Time after the start in which an instance only listens. It receives the heartbeats of the others within a few
@@ -35,9 +37,6 @@
 /** Interval at which {@link FleetState.review} is called. */
 export const reviewIntervalMs = 100;
 
-/** Age of the last confirmation above which an outage is assumed; entries of live upstreams may have expired in it. */
-const outageThresholdMs = 2_500;
-
 /** Options of {@link FleetState}. */
 export interface FleetStateOptions {
     readonly self: GatewayInstance;
@@ -50,6 +49,8 @@
     readonly roster: Roster;
     readonly config: CurrentConfig;
     readonly upstreams: UpstreamRegistry;
+    /** Undefined where zones are not evacuated; the collection is then neither read nor sent. */
+    readonly evacuations?: EvacuationRegistry | undefined;
     /** Notifies the other instances immediately of the new state of this one. */
     readonly announce: () => void;
     readonly sendToAll: (message: UpstreamsMessage) => void;
@@ -60,6 +61,13 @@
     readonly onConfig: (config: GatewayConfig) => void;
 }
 
+/** A collection that this instance keeps current. */
+interface KeptCollection {
+    readonly held: Pick<HeldCollection<SharedCollection>, "revision" | "exportState" | "importState">;
+    readonly reader: { readonly state: ReaderState; readonly isRunning: boolean; stop(): void; };
+    readonly elected: { review(): void; };
+}
+
 /**
  * Decides whether this instance reads from the store, applies state from readers and other instances, and provides it
  * to others.
@@ -71,18 +79,16 @@
 export class FleetState {
     readonly #options: FleetStateOptions;
     readonly #exchange: StateExchange;
-    readonly #configReader: CollectionReader<"config">;
-    readonly #upstreamReader: CollectionReader<"upstreams">;
-    readonly #electedReaders: readonly { review(): void; }[];
+    readonly #upstreams: HeldUpstreams;
+    readonly #kept = new Map<SharedCollection, KeptCollection>();
     readonly #lag: StateLag;
     readonly #startedMs: number;
     /** Monotonic time at which the store last confirmed the state of this instance to any reader. */
-    #confirmedMs: Record<SharedCollection, number | undefined> = { config: undefined, upstreams: undefined };
-    /** Whether the last entry that the store gave this instance is the held configuration. */
-    #isConfigConfirmed = false;
+    readonly #confirmedMs = new Map<SharedCollection, number>();
     #isStopped = false;
 
     constructor(options: FleetStateOptions) {
+        const { config, upstreams, evacuations, sendToAll, onConfig } = options;
         this.#options = options;
         this.#startedMs = options.clock.monotonicMs();
         this.#lag = new StateLag(options.clock, options.log);
@@ -93,41 +99,25 @@
             sha256: options.sha256,
             log: options.log,
             pacer: new TransferPacer({ clock: options.clock, bytesPerSecond: options.transferBytesPerSecond }),
-            read: collection => this.#exportState(collection),
+            read: collection => this.#kept.get(collection)?.held.exportState(),
             heldRevision: collection => this.#heldRevision(collection),
             accept: (collection, state) => this.#importState(collection, state),
             holders: collection => this.#holders(collection),
             newestRevision: collection => options.roster.newestRevision(collection),
             rankInZone: () => this.#rankInZone(),
         });
-        const { store, clock, log, announce } = options;
-        const common = { store, clock, log, onFailingChange: announce };
-        this.#configReader = new CollectionReader({
-            ...common,
-            collection: "config",
-            listener: {
-                onSnapshot: ({ items }) => this.#applyConfigs([...items.values()]),
-                onChanges: ({ changes }) => this.#applyConfigs(changes.map(({ value }) => value)),
-            },
-        });
-        this.#upstreamReader = new CollectionReader({
-            ...common,
-            collection: "upstreams",
-            listener: {
-                onSnapshot: snapshot => this.#applySnapshot(snapshot),
-                onChanges: changes => this.#applyChanges(changes),
-            },
-        });
-        const election = { ...options, reviewIntervalMs, ownKey: instanceKey(options.self.id) };
-        this.#electedReaders = [
-            new ElectedReader({ ...election, collection: "config", reader: this.#configReader }),
-            new ElectedReader({ ...election, collection: "upstreams", reader: this.#upstreamReader }),
-        ];
+        this.#upstreams = new HeldUpstreams(upstreams, sendToAll, this.#contextOf("upstreams"));
+        this.#keep("config", new HeldConfig(config, onConfig, this.#contextOf("config")));
+        this.#keep("upstreams", this.#upstreams);
+        if (evacuations !== undefined) {
+            const held = new HeldEvacuations(evacuations, this.#contextOf("evacuations"));
+            this.#keep("evacuations", held, evacuationWatchWaitMs(evacuations.boundMs));
+        }
     }
 
     /** Whether the state suffices to handle requests. */
     get isComplete(): boolean {
-        return this.#options.config.current !== undefined && this.#options.upstreams.revision > 0;
+        return [...this.#kept.values()].every(({ held }) => held.revision > 0);
     }
 
     /** Reconsiders whether to read from the store; call it periodically. */
@@ -135,33 +125,35 @@
         if (this.#isStopped || this.#isListening()) {
             return;
         }
-        this.#electedReaders.forEach(reader => reader.review());
-        this.#exchange.catchUp("config");
-        this.#exchange.catchUp("upstreams");
+        this.#kept.forEach(({ elected }) => elected.review());
+        [...this.#kept.keys()].forEach(collection => this.#exchange.catchUp(collection));
     }
 
     /** Stops reading from the store; other instances can still fetch the state. */
     stop(): void {
         this.#isStopped = true;
-        this.#configReader.stop();
-        this.#upstreamReader.stop();
+        this.#kept.forEach(({ reader }) => reader.stop());
     }
 
     /** Whether this instance reads any collection from the store. */
     get isReader(): boolean {
-        return this.#configReader.isRunning || this.#upstreamReader.isRunning;
+        return [...this.#kept.values()].some(({ reader }) => reader.isRunning);
     }
 
     /** State of the collections of this instance, for its heartbeats. */
-    collectionStates(): Readonly<Record<SharedCollection, CollectionState>> {
+    collectionStates(): CollectionStates {
         return {
-            config: this.#collectionState("config", this.#configReader),
-            upstreams: this.#collectionState("upstreams", this.#upstreamReader),
+            config: this.#collectionState("config"),
+            upstreams: this.#collectionState("upstreams"),
+            ...(this.#kept.has("evacuations") ? { evacuations: this.#collectionState("evacuations") } : {}),
         };
     }
 
     /** Processes the state of a collection at another instance. */
     recordRevision(collection: SharedCollection, revision: number, confirmedAgeMs: number | undefined): void {
+        if (!this.#kept.has(collection)) {
+            return;
+        }
         const heldRevision = this.#heldRevision(collection);
         if (revision > heldRevision) {
             this.#lag.recordHeard(collection, revision, heldRevision);
@@ -173,9 +165,9 @@
     }
 
     /** Applies upstream changes that a reader forwards. */
-    receiveUpstreamChanges({ fromRevision, toRevision, changes }: UpstreamsMessage): void {
+    receiveUpstreamChanges(message: UpstreamsMessage): void {
         try {
-            if (!this.#applyUpstreams({ fromRevision, toRevision, changes: changes.map(decodeChange) })) {
+            if (!this.#upstreams.receive(message)) {
                 this.#exchange.catchUp("upstreams");
             }
         }
@@ -187,8 +179,8 @@
 
     /** Time since the store last confirmed the state of this instance to any reader; undefined: never. */
     confirmedAgeMs(collection: SharedCollection): number | undefined {
-        const confirmedMs = this.#confirmedMs[collection];
-        return confirmedMs === undefined ? undefined : this.#options.clock.monotonicMs() - confirmedMs;
+        const confirmedMs = this.#confirmedMs.get(collection);
+        return confirmedMs === undefined ? undefined : this.#elapsedSince(confirmedMs);
     }
 
     /** Time for which a newer state than the held one has been known; 0 if there is none. */
@@ -196,6 +188,33 @@
         return this.#lag.behindMs(collection, this.#heldRevision(collection));
     }
 
+    /** Keeps a collection current: its reader, the election of its readers, and what it holds. */
+    #keep<Name extends SharedCollection>(collection: Name, held: HeldCollection<Name>, watchWaitMs?: number): void {
+        const { self, clock, log, store, announce } = this.#options;
+        const reader = new CollectionReader<Name>({
+            collection,
+            store,
+            clock,
+            log,
+            listener: held,
+            watchWaitMs,
+            onFailingChange: announce,
+        });
+        const ownKey = instanceKey(self.id);
+        const elected = new ElectedReader({ ...this.#options, reviewIntervalMs, ownKey, collection, reader });
+        this.#kept.set(collection, { held, reader, elected });
+    }
+
+    #contextOf(collection: SharedCollection): HoldingContext {
+        return {
+            log: this.#options.log,
+            announce: this.#options.announce,
+            confirm: () => this.#confirm(collection, 0),
+            confirmedAgeMs: () => this.confirmedAgeMs(collection),
+            behindMs: () => this.behindMs(collection),
+        };
+    }
+
     /** Whether this instance has just started and waits for heartbeats before it reads. */
     #isListening(): boolean {
         const elapsedMs = this.#elapsedSince(this.#startedMs);
@@ -206,107 +225,26 @@
         return elapsedMs < (isHeldByPeer || this.isComplete ? startupListenMs : startupListenWithoutHolderMs);
     }
 
-    #collectionState(
-        collection: SharedCollection,
-        { state: reader }: { readonly state: ReaderState; },
-    ): CollectionState {
+    #collectionState(collection: SharedCollection): CollectionState {
         return {
             revision: this.#heldRevision(collection),
             confirmedAgeMs: this.confirmedAgeMs(collection),
-            reader,
+            reader: this.#kept.get(collection)?.reader.state ?? "idle",
         };
     }
 
     #heldRevision(collection: SharedCollection): number {
-        const { config, upstreams } = this.#options;
-        return collection === "config" ? config.version : upstreams.revision;
+        return this.#kept.get(collection)?.held.revision ?? 0;
     }
 
     #confirm(collection: SharedCollection, ageMs: number): void {
         const atMs = this.#options.clock.monotonicMs() - ageMs;
-        this.#confirmedMs[collection] = Math.max(atMs, this.#confirmedMs[collection] ?? -Infinity);
-    }
-
-    /** Applies what a reader was given; undefined stands for an entry that is invalid or was removed. */
-    #applyConfigs(configs: readonly (GatewayConfig | undefined)[]): void {
-        const valid = configs.filter(config => config !== undefined);
-        valid.forEach(config => this.#applyConfig(config, "store"));
-        const newest = Math.max(0, ...valid.map(({ version }) => version));
-        if (configs.length > 0) {
-            // Without a valid entry, or with one that is older, the store does not confirm what this instance holds.
-            this.#isConfigConfirmed = newest >= this.#options.config.version && configs.at(-1) !== undefined;
-        }
-        if (this.#isConfigConfirmed) {
-            this.#confirm("config", 0);
-        }
-    }
-
-    #applyConfig(config: GatewayConfig, source: string): boolean {
-        const former = this.#options.config.version;
-        const behindMs = Math.round(this.behindMs("config"));
-        if (!this.#options.config.accept(config)) {
-            return false;
-        }
-        this.#options.log.event("config-in-force", { version: config.version, former, source, behindMs });
-        this.#options.onConfig(config);
-        this.#options.announce();
-        return true;
-    }
-
-    #applySnapshot(snapshot: StoreSnapshot<ListedUpstream>): void {
-        const { upstreams, log, announce } = this.#options;
-        const isAfterOutage = (this.confirmedAgeMs("upstreams") ?? 0) > outageThresholdMs;
-        if (upstreams.replace(snapshot, { isAfterOutage, isFromPeer: false })) {
-            const { revision, items } = snapshot;
-            log.event("upstreams-listed", { revision, count: items.size, isAfterOutage });
-            announce();
-        }
-        this.#confirm("upstreams", 0);
-    }
-
-    #applyChanges({ changes, changedRevision }: StoreChanges<ListedUpstream>): void {
-        const { upstreams, sendToAll, announce } = this.#options;
-        if (changes.length > 0 && changedRevision > upstreams.revision) {
-            const delta = { fromRevision: upstreams.revision, toRevision: changedRevision, changes };
-            this.#applyUpstreams(delta);
-            // Without the message, the others fetch the list when they hear of its revision.
-            if (changes.length <= maxUpstreamChanges) {
-                sendToAll({ kind: "upstreams", ...delta });
-            }
-            announce();
-        }
-        this.#confirm("upstreams", 0);
-    }
-
-    #applyUpstreams(delta: UpstreamDelta): boolean {
-        const { upstreams, log } = this.#options;
-        const { toRevision, changes } = delta;
-        const isNewer = toRevision > upstreams.revision;
-        const isApplied = upstreams.apply(delta);
-        if (isNewer && isApplied) {
-            changes.forEach(change => log.event("upstream-changed", describeChange(change, toRevision)));
-        }
-        return isApplied;
-    }
-
-    #exportState(collection: SharedCollection): object | undefined {
-        const { config, upstreams } = this.#options;
-        return collection === "config" ? config.current?.config : { upstreams: upstreams.all() };
+        this.#confirmedMs.set(collection, Math.max(atMs, this.#confirmedMs.get(collection) ?? -Infinity));
     }
 
     #importState(collection: SharedCollection, state: SharedState): boolean {
-        if (state.revision <= this.#heldRevision(collection)) {
-            return false;
-        }
-        if (collection === "config") {
-            const config = decodeSharedConfig(state.value);
-            return config.version === state.revision && this.#applyConfig(config, "peer");
-        }
-        const items = new Map(decodeSharedUpstreams(state.value).map(listed => [listed.id as string, listed]));
-        return this.#options.upstreams.replace(
-            { revision: state.revision, items },
-            { isAfterOutage: false, isFromPeer: true },
-        );
+        return state.revision > this.#heldRevision(collection)
+            && (this.#kept.get(collection)?.held.importState(state) ?? false);
     }
 
     #holders(collection: SharedCollection): readonly StateHolder[] {
@@ -329,17 +267,3 @@
         return this.#options.clock.monotonicMs() - atMs;
     }
 }
-
-/** @throws ZodError if the upstream is invalid */
-const decodeChange = ({ name, value }: UpstreamChange): StoreChange<ListedUpstream> => ({
-    name,
-    value: value === undefined ? undefined : decodeSharedUpstream(value),
-});
-
-const describeChange = ({ name, value: listed }: StoreChange<ListedUpstream>, revision: number) => ({
-    upstream: id<UpstreamId>(name),
-    revision,
-    state: listed?.state ?? "gone",
-    service: listed?.service,
-    address: listed?.address,
-});
--- a/packages/gateway/src/lib/store/ports.ts
+++ b/packages/gateway/src/lib/store/ports.ts
@@ -1,10 +1,11 @@
 /** Port to the platform's object store. */
-import type { GatewayConfig, ListedUpstream } from "../model.js";
+import type { Evacuation, GatewayConfig, ListedUpstream } from "../model.js";
 
 /** Types of the objects in the store, by collection. */
 export interface Collections {
     readonly config: GatewayConfig;
     readonly upstreams: ListedUpstream;
+    readonly evacuations: Evacuation;
     readonly instances: InstanceRecord;
 }
 
--- a/packages/gateway/src/lib/store/reader-election.ts
+++ b/packages/gateway/src/lib/store/reader-election.ts
@@ -7,17 +7,17 @@
  * still receives changes. The configuration changes rarely, so fewer readers suffice: a partitioned reader is replaced
  * within the time in which a change must be in force.
  */
-export const readerCounts: Readonly<Record<SharedCollection, number>> = { config: 2, upstreams: 3 };
+export const readerCounts: Readonly<Record<SharedCollection, number>> = { config: 2, upstreams: 3, evacuations: 2 };
 /**
  * Number of instances that replace each failing reader. They may be partitioned as well, and a change of the configuration
  * leaves time for two of such rounds only.
  */
-const successorCounts: Readonly<Record<SharedCollection, number>> = { config: 2, upstreams: 1 };
+const successorCounts: Readonly<Record<SharedCollection, number>> = { config: 2, upstreams: 1, evacuations: 2 };
 /**
  * Number of failing readers at which the store itself may be down, so that no further instance reads permanently. The
  * others then only probe it, since it may also turn away many instances and serve the rest.
  */
-const maxFailingReaders: Readonly<Record<SharedCollection, number>> = { config: 12, upstreams: 6 };
+const maxFailingReaders: Readonly<Record<SharedCollection, number>> = { config: 12, upstreams: 6, evacuations: 12 };
 /** Mean time between two probes of a collection by any instances, while all first-ranked readers fail. */
 export const probeIntervalMs = 500;
 
@@ -69,5 +69,7 @@
     return workingAnywhere < count && self.state === "idle" ? "probe" : "rest";
 };
 
-/** Opposite ranks, so that an instance of a large fleet does not read both collections. */
-const rankOf = (key: number, collection: SharedCollection): number => collection === "config" ? key : ~key >>> 0;
+/** Ranks that begin at other keys, so that an instance of a large fleet does not read two collections. */
+const rankOf = (key: number, collection: SharedCollection): number => (key ^ rankMasks[collection]) >>> 0;
+
+const rankMasks: Readonly<Record<SharedCollection, number>> = { config: 0, upstreams: ~0, evacuations: 0x80_00_00_00 };
--- a/packages/gateway/src/lib/store/shared-state.ts
+++ b/packages/gateway/src/lib/store/shared-state.ts
@@ -2,7 +2,7 @@
 import { id } from "@sniperoad/core";
 import type { OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "@sniperoad/core";
 import * as z from "zod";
-import type { GatewayConfig, KeyHash, ListedUpstream } from "../model.js";
+import type { Evacuation, GatewayConfig, KeyHash, ListedUpstream } from "../model.js";
 
 const nonNegative = z.number().min(0);
 const positive = z.number().positive();
@@ -73,3 +73,13 @@
  */
 export const decodeSharedUpstreams = (value: unknown): readonly ListedUpstream[] =>
     z.object({ upstreams: z.array(upstreamSchema) }).parse(value).upstreams;
+
+const evacuationSchema = z.object({ zone: z.string().min(1).transform(name => id<ZoneId>(name)) });
+
+/**
+ * Decodes a list of evacuations of another instance.
+ *
+ * @throws ZodError that names the invalid fields
+ */
+export const decodeSharedEvacuations = (value: unknown): readonly Evacuation[] =>
+    z.object({ evacuations: z.array(evacuationSchema) }).parse(value).evacuations;
--- a/packages/gateway/src/lib/store/state-exchange.ts
+++ b/packages/gateway/src/lib/store/state-exchange.ts
@@ -84,6 +84,7 @@
     readonly #partial: Record<SharedCollection, Map<PartHash, Uint8Array>> = {
         config: new Map(),
         upstreams: new Map(),
+        evacuations: new Map(),
     };
 
     constructor(options: StateExchangeOptions) {
--- a/packages/gateway/src/lib/store/state-messages.ts
+++ b/packages/gateway/src/lib/store/state-messages.ts
@@ -5,7 +5,7 @@
 import type { PartHash, StateOutline } from "./state-parts.js";
 
 /** The collections that instances share. */
-export const sharedCollections = ["config", "upstreams"] as const;
+export const sharedCollections = ["config", "upstreams", "evacuations"] as const;
 const collectionSchema = z.enum(sharedCollections);
 export type SharedCollection = z.output<typeof collectionSchema>;
 
--- a/packages/gateway/src/lib/store/state-provider.ts
+++ b/packages/gateway/src/lib/store/state-provider.ts
@@ -39,7 +39,7 @@
 export class StateProvider {
     readonly #options: StateProviderOptions;
     /** Newest last. */
-    readonly #held: Record<SharedCollection, HeldState[]> = { config: [], upstreams: [] };
+    readonly #held: Record<SharedCollection, HeldState[]> = { config: [], upstreams: [], evacuations: [] };
 
     constructor(options: StateProviderOptions) {
         this.#options = options;
--- /dev/null
+++ b/packages/gateway/src/lib/store/zone-evacuations.ts
@@ -0,0 +1,125 @@
+/** The zones whose upstreams get no requests, as of a store revision. */
+import type { Clock, LogPort, ZoneId } from "@sniperoad/core";
+import type { Evacuation } from "../model.js";
+import type { StoreChange, StoreSnapshot } from "./ports.js";
+
+/** What other components may ask about evacuations; the load that it addresses is that of a zone which is emptied. */
+export interface ZoneEvacuations {
+    /** Whether upstreams of the zone must not receive requests. */
+    isEvacuated(zone: ZoneId): boolean;
+    /** Monotonic time at which this instance saw the last evacuation of the zone end; undefined: it saw none end. */
+    endedMs(zone: ZoneId): number | undefined;
+}
+
+/** Evacuations of a deployment that has none. */
+export const noEvacuations: ZoneEvacuations = { isEvacuated: () => false, endedMs: () => undefined };
+
+/** Where a state comes from, for log lines. */
+export interface EvacuationSource {
+    readonly source: "store" | "peer";
+    /** Time since the first news of a revision above the held one; 0 if there was none. */
+    readonly behindMs: number;
+}
+
+/** Options of {@link EvacuationRegistry}. */
+export interface EvacuationRegistryOptions {
+    readonly clock: Clock;
+    readonly log: LogPort;
+    /** Time within which an evacuation must be in force. */
+    readonly boundMs: number;
+}
+
+/**
+ * The evacuated zones with the revision of the list.
+ *
+ * @example
+ * const evacuations = new EvacuationRegistry({ clock, log, boundMs: 5_000 });
+ * evacuations.replace(snapshot, { source: "store", behindMs: 0 });
+ * evacuations.isEvacuated(upstream.zone);
+ */
+export class EvacuationRegistry implements ZoneEvacuations {
+    readonly #options: EvacuationRegistryOptions;
+    #zones: ReadonlySet<ZoneId> = new Set();
+    readonly #endedMs = new Map<ZoneId, number>();
+    #revision = 0;
+
+    constructor(options: EvacuationRegistryOptions) {
+        this.#options = options;
+    }
+
+    /** Store revision of the list; 0 before the first list. */
+    get revision(): number {
+        return this.#revision;
+    }
+
+    /** Number of evacuated zones. */
+    get size(): number {
+        return this.#zones.size;
+    }
+
+    get boundMs(): number {
+        return this.#options.boundMs;
+    }
+
+    isEvacuated(zone: ZoneId): boolean {
+        return this.#zones.has(zone);
+    }
+
+    endedMs(zone: ZoneId): number | undefined {
+        return this.#endedMs.get(zone);
+    }
+
+    all(): readonly Evacuation[] {
+        return [...this.#zones].sort().map(zone => ({ zone }));
+    }
+
+    /**
+     * Replaces the list if the snapshot is newer, and returns whether it did. The revision of an equal list from the store
+     * is not adopted, since all other instances would then fetch the list.
+     */
+    replace({ revision, items }: StoreSnapshot<Evacuation>, origin: EvacuationSource): boolean {
+        if (revision <= this.#revision) {
+            return false;
+        }
+        const zones = new Set([...items.values()].map(({ zone }) => zone));
+        const isSame = zones.size === this.#zones.size && [...zones].every(zone => this.#zones.has(zone));
+        if (isSame && this.#revision > 0 && origin.source === "store") {
+            return false;
+        }
+        this.#set(zones, revision, origin);
+        return true;
+    }
+
+    /** Applies changes that follow the held list, and returns whether there were any. */
+    apply(changes: readonly StoreChange<Evacuation>[], revision: number, origin: EvacuationSource): boolean {
+        if (changes.length === 0 || revision <= this.#revision) {
+            return false;
+        }
+        const zones = new Set(this.#zones);
+        for (const { name, value } of changes) {
+            if (value === undefined) {
+                zones.delete(name as ZoneId);
+            }
+            else {
+                zones.add(value.zone);
+            }
+        }
+        this.#set(zones, revision, origin);
+        return true;
+    }
+
+    #set(zones: ReadonlySet<ZoneId>, revision: number, { source, behindMs }: EvacuationSource): void {
+        const { clock, log } = this.#options;
+        const previous = this.#zones;
+        this.#zones = zones;
+        this.#revision = revision;
+        const fields = { revision, source, behindMs: Math.round(behindMs) };
+        for (const zone of [...zones].filter(zone => !previous.has(zone))) {
+            log.event("evacuation-begin", { zone, ...fields });
+        }
+        for (const zone of [...previous].filter(zone => !zones.has(zone))) {
+            this.#endedMs.set(zone, clock.monotonicMs());
+            log.event("evacuation-end", { zone, ...fields });
+        }
+    }
+}
--- a/packages/gateway/src/lib/template.test.ts
+++ b/packages/gateway/src/lib/template.test.ts
@@ -33,16 +33,32 @@
     "bounds.floor_share": 0.7,
 };
 
+/** Renders sections whose field exists, and substitutes the placeholders. */
+const render = (fields: Readonly<Record<string, unknown>>) => {
+    const text = template
+        .replace(
+            /\{\{#([\w.]+)\}\}(.*?)\{\{\/\1\}\}/gs,
+            (_all, field: string, section: string) => fields[field] === undefined ? "" : section,
+        )
+        .replace(
+            /\{\{([\w.]+)(\|json)?\}\}/g,
+            (_all, field: string, json: string | undefined) =>
+                json === undefined ? String(fields[field]) : JSON.stringify(fields[field]),
+        );
+    return parseGatewaySettings(text, "settings.jsonc");
+};
+
 // Guards against a settings template with which no instance can start, which only a deployment would reveal.
 test("the settings template is valid once its placeholders are substituted", () => {
-    const text = template.replace(
-        /\{\{([\w.]+)(\|json)?\}\}/g,
-        (_all, field: string, json: string | undefined) =>
-            json === undefined ? String(values[field]) : JSON.stringify(values[field]),
-    );
-    const settings = parseGatewaySettings(text, "settings.jsonc");
+    const settings = render(values);
     assert.is(settings.storeAddress, "10.0.0.9:8408");
     assert.is(settings.metricsAddress, "10.0.0.1:9464");
 });
 
+// Guards against a collection that is read, and a store that is billed, where the platform has no evacuations.
+test("zones are evacuated only where the platform states a bound", () => {
+    assert.is(render(values).zoneEvacuationMs, undefined);
+    assert.is(render({ ...values, "bounds.evacuate_ms": 5_000 }).zoneEvacuationMs, 5_000);
+});
+
 test.run();
--- a/packages/gateway/src/lib/testing/config-days.ts
+++ b/packages/gateway/src/lib/testing/config-days.ts
@@ -1,7 +1,6 @@
 /** Plays changes of the store beside random faults, and finds instances where a change is late. */
 import type { Random } from "@sniperoad/core";
 import { seededRandom } from "@sniperoad/core/testing";
-import { sharedCollections } from "../store/state-messages.js";
 import type { SharedCollection } from "../store/state-messages.js";
 import { testConfig, testUpstream } from "./fixtures.js";
 import { TestFleet } from "./test-fleet.js";
@@ -178,7 +177,7 @@
     #checkInstance({ self, config, upstreams }: TestInstance, due: Change): void {
         const nowMs = this.#fleet.clock.monotonicMs();
         const held = { config: config.version, upstreams: upstreams.all()[0]?.startedMs ?? 0 };
-        for (const collection of sharedCollections) {
+        for (const collection of ["config", "upstreams"] as const) {
             const key = `${collection} ${self.peerAddress} ${due.version}`;
             if (held[collection] < due.version && !this.#late.has(key)) {
                 this.#late.set(key, {
--- a/packages/gateway/src/lib/testing/memory-store.ts
+++ b/packages/gateway/src/lib/testing/memory-store.ts
@@ -1,7 +1,7 @@
 /** In-memory object store with the faults that the platform specifies. */
 import type { Clock } from "@sniperoad/core";
 import { HistoryGoneError, StoreUnavailableError } from "../errors.js";
-import type { GatewayConfig, ListedUpstream } from "../model.js";
+import type { Evacuation, GatewayConfig, ListedUpstream } from "../model.js";
 import type {
     CollectionName,
     Collections,
@@ -45,6 +45,7 @@
     /** Writes an object, or removes it if the value is undefined. */
     put(collection: "config", name: string, value: GatewayConfig | undefined): void;
     put(collection: "upstreams", name: string, value: ListedUpstream | undefined): void;
+    put(collection: "evacuations", name: string, value: Evacuation | undefined): void;
     put(collection: "instances", name: string, value: InstanceRecord | undefined): void;
     put(collection: CollectionName, name: string, value: unknown): void {
         const objects = this.#objects.get(collection) ?? new Map<string, unknown>();
--- a/packages/gateway/src/lib/testing/test-fleet.ts
+++ b/packages/gateway/src/lib/testing/test-fleet.ts
@@ -13,6 +13,7 @@
 import { FleetState, reviewIntervalMs } from "../store/fleet-state.js";
 import { InstanceRecords } from "../store/instance-records.js";
 import { UpstreamRegistry } from "../store/upstream-registry.js";
+import { EvacuationRegistry } from "../store/zone-evacuations.js";
 import { idlePayload, testHash } from "./fixtures.js";
 import { MemoryDatagrams } from "./memory-datagrams.js";
 import { MemoryStore } from "./memory-store.js";
@@ -25,6 +26,8 @@
     readonly state: FleetState;
     readonly config: CurrentConfig;
     readonly upstreams: UpstreamRegistry;
+    /** Undefined unless the fleet has a bound for evacuations. */
+    readonly evacuations: EvacuationRegistry | undefined;
     /** Whether the instance can reach the store, and whether its calls get no answer; tests change it. */
     readonly reach: { store: boolean; isStoreSilent: boolean; };
     /** Additions to the payload of the next heartbeat; tests change it. */
@@ -43,6 +46,14 @@
 
 const usageWindowMs = 5_000;
 
+/** Options of {@link TestFleet}. */
+export interface TestFleetOptions {
+    readonly zoneCount?: number;
+    readonly seed?: number;
+    /** Bound of evacuations; undefined: the fleet does not read them. */
+    readonly zoneEvacuationMs?: number;
+}
+
 /**
  * A fleet whose instances start when they are added.
  *
@@ -61,10 +72,12 @@
     /** Bytes per second that each instance may send in transfers; tests change it. */
     transferBytesPerSecond = 50_000_000;
     readonly #zoneCount: number;
+    readonly #zoneEvacuationMs: number | undefined;
     #startedCount = 0;
 
-    constructor({ zoneCount = 3, seed = 7 }: { readonly zoneCount?: number; readonly seed?: number; } = {}) {
+    constructor({ zoneCount = 3, seed = 7, zoneEvacuationMs }: TestFleetOptions = {}) {
         this.#zoneCount = zoneCount;
+        this.#zoneEvacuationMs = zoneEvacuationMs;
         this.random = seededRandom(seed);
         this.datagrams = new MemoryDatagrams(this.clock, this.random);
         this.network = new FakeNetwork({ clock: this.clock, random: this.random, delayMs: () => 1 });
@@ -130,6 +143,13 @@
         };
     }
 
+    #createEvacuations(): EvacuationRegistry | undefined {
+        const boundMs = this.#zoneEvacuationMs;
+        return boundMs === undefined
+            ? undefined
+            : new EvacuationRegistry({ clock: this.clock, log: { event: () => {} }, boundMs });
+    }
+
     #start(number: number, seeds: readonly string[], incarnation = 0): TestInstance {
         const { clock, random, datagrams, store } = this;
         const self = this.#identity(number, incarnation);
@@ -141,6 +161,7 @@
         const roster = new Roster(clock);
         const config = new CurrentConfig(testHash);
         const upstreams = new UpstreamRegistry(clock);
+        const evacuations = this.#createEvacuations();
         const port = store.port(() => reach.store, () => reach.isStoreSilent);
         const { peers } = this.network.join(self.id);
         const state: FleetState = new FleetState({
@@ -154,10 +175,8 @@
             roster,
             config,
             upstreams,
-            announce: () => {
-                exchange.sendHeartbeatSoon();
-                exchange.announceState();
-            },
+            evacuations,
+            announce: () => announceState(exchange),
             sendToAll: message => exchange.sendToAll(message),
             digestIntervalMs: () => exchange.digestIntervalMs(),
             transferBytesPerSecond: () => this.transferBytesPerSecond,
@@ -207,6 +226,11 @@
             state.stop();
             exchange.stop();
         };
-        return { self, roster, exchange, state, config, upstreams, reach, payload, received, leave, end };
+        return { self, roster, exchange, state, config, upstreams, evacuations, reach, payload, received, leave, end };
     }
 }
+
+const announceState = (exchange: FleetExchange): void => {
+    exchange.sendHeartbeatSoon();
+    exchange.announceState();
+};
