Count a warm-up from its report when the list of upstreams is read again

A list that was read again renewed the warm-up of all entries that still reported one, so that a change of one entry made others cold for another warm-up time. An entry that an upstream writes again still counts anew.

--- a/packages/gateway/src/lib/store/upstream-registry.test.ts
+++ b/packages/gateway/src/lib/store/upstream-registry.test.ts
@@ -76,6 +76,20 @@
     assert.equal(restarted, ["u1"]);
 });
 
+// Guards against a service whose upstreams all count as cold again whenever the list is read, and against a warm-up that
+// an upstream reports again and nobody takes.
+test("a warm-up counts from the report of it, not from the list that contains it", async () => {
+    const clock = new VirtualClock();
+    const upstreams = new UpstreamRegistry(clock);
+    const cold = testUpstream("u1", { warmupLeftMs: 4_000 });
+    upstreams.replace({ revision: 10, items: itemsOf(cold) }, fromStore);
+    await clock.advance(1_000);
+    upstreams.replace({ revision: 11, items: itemsOf(cold, testUpstream("u2")) }, fromStore);
+    assert.is(upstreams.get(cold.id)?.warmupEndMs, 4_000);
+    upstreams.apply({ fromRevision: 11, toRevision: 12, changes: [{ name: "u1", value: cold }] });
+    assert.is(upstreams.get(cold.id)?.warmupEndMs, 5_000);
+});
+
 // Guards against requests to an upstream that was removed while the store is available.
 test("entries missing from a list are removed immediately if there was no outage", () => {
     const { upstreams } = createRegistry();
--- a/packages/gateway/src/lib/store/upstream-registry.ts
+++ b/packages/gateway/src/lib/store/upstream-registry.ts
@@ -126,7 +126,15 @@
                 this.#remove(name);
             }
         }
-        snapshot.items.forEach((listed, name) => this.#put(name, listed));
+        for (const [name, listed] of snapshot.items) {
+            // The warm-up time of an entry counts from its first report, not from when the list is read again.
+            if (isDeepStrictEqual(this.#byId.get(name)?.listed, listed)) {
+                this.#graceEndMs.delete(name);
+            }
+            else {
+                this.#put(name, listed);
+            }
+        }
         this.#revision = snapshot.revision;
         this.#rebuildIndex();
         return true;
