--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -58,6 +58,7 @@
         configBehindSeconds: () => fleet.state.behindMs("config") / 1_000,
         upstreams: () => fleet.upstreams.size,
         evacuatedZones: () => fleet.evacuations?.size ?? 0,
+        coldUpstreams: () => fleet.cold.count,
         instancesHeard: () => fleet.roster.live().length,
         isReady: () => fleet.isReady(),
         inFlight: () => fleet.load.localInFlight(),
--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -11,6 +11,8 @@
     readonly configBehindSeconds: () => number;
     readonly upstreams: () => number;
     readonly evacuatedZones: () => number;
+    /** Upstreams that get few requests since they warm up. */
+    readonly coldUpstreams: () => number;
     readonly instancesHeard: () => number;
     readonly isReady: () => boolean;
     readonly inFlight: () => number;
@@ -58,6 +60,7 @@
         );
         this.#gauge("sniperoad_upstreams", "Upstreams listed", sources.upstreams);
         this.#gauge("sniperoad_evacuated_zones", "Zones whose upstreams get no requests", sources.evacuatedZones);
+        this.#gauge("sniperoad_upstreams_cold", "Upstreams that warm up", sources.coldUpstreams);
         this.#gauge("sniperoad_instances_heard", "Other instances heard", sources.instancesHeard);
         this.#gauge("sniperoad_ready", "1 if callers are taken", () => sources.isReady() ? 1 : 0);
         this.#gauge("sniperoad_in_flight", "Requests at upstreams", sources.inFlight);
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -58,6 +58,10 @@
     floorShare: z.number().min(0).max(1),
     /** Time within which the evacuation of a zone must be in force; without it, evacuations are not read. */
     zoneEvacuationMs: positive.optional(),
+    /** Multiple of the rate that a cold upstream tolerates by which its requests of any second are bounded. */
+    warmupOverage: positive.default(1),
+    /** Number of requests by which the requests of a second may exceed this bound in addition. */
+    warmupSlack: z.number().min(0).default(0),
 });
 
 /** Validated settings. */
--- a/packages/gateway/src/lib/store/zone-evacuations.test.ts
+++ b/packages/gateway/src/lib/store/zone-evacuations.test.ts
@@ -9,7 +9,7 @@
 import { LimitMeters } from "../statements/limit-meters.js";
 import { UpstreamStatements } from "../statements/upstream-statements.js";
 import { WillingUpstreams } from "../statements/willing-upstreams.js";
-import { knownUpstream, testConfig, TestFleet, testUpstream, zoneA } from "../testing/index.js";
+import { knownUpstream, noColdUpstreams, testConfig, TestFleet, testUpstream, zoneA } from "../testing/index.js";
 import type { TestInstance } from "../testing/index.js";
 import { UpstreamRegistry } from "./upstream-registry.js";
 import { EvacuationRegistry } from "./zone-evacuations.js";
@@ -63,7 +63,15 @@
         share: () => {},
     });
     const meters = new LimitMeters({ clock, remoteInFlight: () => 0, reach });
-    const willing = new WillingUpstreams({ clock, random: () => 0, statements, meters, reach, evacuations: registry });
+    const willing = new WillingUpstreams({
+        clock,
+        random: () => 0,
+        statements,
+        meters,
+        cold: noColdUpstreams,
+        reach,
+        evacuations: registry,
+    });
     return { registry, willing };
 };
 
--- a/packages/gateway/src/lib/template.test.ts
+++ b/packages/gateway/src/lib/template.test.ts
@@ -33,32 +33,37 @@
     "bounds.floor_share": 0.7,
 };
 
-/** Renders sections whose field exists, and substitutes the placeholders. */
-const render = (fields: Readonly<Record<string, unknown>>) => {
-    const text = template
+/** Renders the template with values of some fields besides those that every deployment has. */
+const render = (added: Readonly<Record<string, unknown>> = {}): string => {
+    const fields = { ...values, ...added };
+    return template
         .replace(
             /\{\{#([\w.]+)\}\}(.*?)\{\{\/\1\}\}/gs,
-            (_all, field: string, section: string) => fields[field] === undefined ? "" : section,
+            (_all, field: string, section: string) => field in fields ? section : "",
         )
         .replace(
             /\{\{([\w.]+)(\|json)?\}\}/g,
             (_all, field: string, json: string | undefined) =>
                 json === undefined ? String(fields[field]) : JSON.stringify(fields[field]),
         );
-    return parseGatewaySettings(text, "settings.jsonc");
 };
 
 // Guards against a settings template with which no instance can start, which only a deployment would reveal.
 test("the settings template is valid once its placeholders are substituted", () => {
-    const settings = render(values);
+    const settings = parseGatewaySettings(render(), "settings.jsonc");
     assert.is(settings.storeAddress, "10.0.0.9:8408");
     assert.is(settings.metricsAddress, "10.0.0.1:9464");
 });
 
-// Guards against a collection that is read, and a store that is billed, where the platform has no evacuations.
-test("zones are evacuated only where the platform states a bound", () => {
-    assert.is(render(values).zoneEvacuationMs, undefined);
-    assert.is(render({ ...values, "bounds.evacuate_ms": 5_000 }).zoneEvacuationMs, 5_000);
+// Guards against a field that only some deployments have and that breaks the settings of the others, or is ignored.
+test("optional fields take effect where the platform has them", () => {
+    const without = parseGatewaySettings(render(), "settings.jsonc");
+    assert.equal([without.warmupOverage, without.warmupSlack], [1, 0]);
+    assert.is(without.zoneEvacuationMs, undefined);
+    const added = { "bounds.warmup_overage": 1.5, "bounds.warmup_slack": 8, "bounds.evacuate_ms": 5_000 };
+    const settings = parseGatewaySettings(render(added), "settings.jsonc");
+    assert.equal([settings.warmupOverage, settings.warmupSlack], [1.5, 8]);
+    assert.is(settings.zoneEvacuationMs, 5_000);
 });
 
 test.run();
