Bound what is parsed of all responses in a turn and in sum, and end endless ones at the first excess

Cause: undici parses all that a socket has read, up to 64 kB, and keeps two Buffer objects for each header line or trailer. Bounds were checked after that and for each connection alone, and the waste of an upstream was known only when all requests to it had been sent.

A quarter of the buffers bounds what waits and the parser's objects.

ResponseReader no longer pauses undici after 512 pieces of a body, as the turns bound that. With the pause and reads of 4 kB, a body of 5,400 chunks failed to parse ("Expected LF after chunk data"); the cause of that was not found, and a test now guards bodies that are read in pieces.

The judgement of results moves to call-result.ts.

--- a/packages/gateway/src/lib/request/endless-responses.test.ts
+++ b/packages/gateway/src/lib/request/endless-responses.test.ts
@@ -114,4 +114,51 @@
         assert.ok(peakBytes <= 24 * megabyte, `${peakBytes} bytes`);
     }));
 
+// Guards against requests that are all sent to a faulty upstream before the first one shows what it sends.
+test("an upstream gets one request at a time after a response without end", () =>
+    withEndlessUpstream(endlessResponses["trailers"]!, async address => {
+        const pool = createPool();
+        assert.is((await callOnce(pool, address, 1_000)).kind, "broken");
+        const results = await Promise.all(Array.from({ length: 5 }, () => callOnce(pool, address, 1_000)));
+        assert.equal(results.map(({ kind }) => kind).sort(), ["broken", "refused", "refused", "refused", "refused"]);
+    }));
+
+const bodyBytes = 540_000;
+const largeBody = Buffer.from(Array.from({ length: bodyBytes }, (_item, index) => index % 251));
+const chunksOf = (sizeBytes: number): readonly Buffer[] =>
+    Array.from({ length: Math.ceil(bodyBytes / sizeBytes) }, (_item, index) => {
+        const chunk = largeBody.subarray(index * sizeBytes, (index + 1) * sizeBytes);
+        return Buffer.concat([Buffer.from(`${chunk.length.toString(16)}\r\n`), chunk, Buffer.from("\r\n")]);
+    });
+const chunkedHead = Buffer.from(`${okHead}Transfer-Encoding: chunked\r\n\r\n`);
+const lastChunk = Buffer.from("0\r\nX-Trailer: 1\r\n\r\n");
+const largeResponses: Readonly<Record<string, Buffer>> = {
+    "with a length": Buffer.concat([Buffer.from(`${okHead}Content-Length: ${bodyBytes}\r\n\r\n`), largeBody]),
+    "in chunks of 64 kB": Buffer.concat([chunkedHead, ...chunksOf(65_536), lastChunk]),
+    "in chunks of 100 bytes": Buffer.concat([chunkedHead, ...chunksOf(100), lastChunk]),
+    "until the connection closes": Buffer.concat([Buffer.from(`${okHead}Connection: close\r\n\r\n`), largeBody]),
+};
+
+// Guards against bytes that are lost or out of order where a response is parsed in pieces and waits for its turn.
+for (const [name, response] of Object.entries(largeResponses)) {
+    test(`a large body ${name} arrives whole beside endless responses`, () =>
+        withEndlessUpstream(endlessResponses["headers"]!, async faultyAddress => {
+            const server = createServer(socket => {
+                socket.on("error", () => {});
+                socket.once("data", () => name.includes("closes") ? socket.end(response) : socket.write(response));
+            });
+            await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+            const pool = createPool();
+            const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+            const [result] = await Promise.all([
+                callOnce(pool, address, 10_000),
+                ...Array.from({ length: 30 }, () => callOnce(pool, faultyAddress, 10_000)),
+            ]);
+            pool.retain(() => false);
+            server.close();
+            assert.is(result.kind, "answer", JSON.stringify(result));
+            assert.ok(result.kind === "answer" && largeBody.equals(Buffer.from(result.answer.body)));
+        }));
+}
+
 test.run();
--- a/packages/gateway/src/lib/request/response-reader.ts
+++ b/packages/gateway/src/lib/request/response-reader.ts
@@ -6,11 +6,12 @@
 import type { BufferBudget } from "./buffer-budget.js";
 
 /** Maximum size of the head of a response, the default of Node.js. */
-const maxHeadBytes = 16_384;
+export const maxHeadBytes = 16_384;
 /** Maximum number of informational responses before the final one. */
 const maxInformational = 10;
-/** Number of pieces of a body after which other work of the event loop comes first; a faulty upstream sends tiny ones. */
-const piecesPerTurn = 512;
+
+/** A response that exceeds a bound which no ordinary one comes near. */
+export class ExcessError extends Error {}
 
 /** Status and headers of a response. */
 export interface ResponseHead {
@@ -49,6 +50,8 @@
     #settle: (result: ReadResult) => void = () => {};
     #controller: Dispatcher.DispatchController | undefined;
     #head: ResponseHead | undefined;
+    /** Size of the body according to the head; infinite if it ends with the connection, undefined if it is chunked. */
+    #lengthBytes: number | undefined;
     #informationalCount = 0;
     #pieceCount = 0;
     #isEnded = false;
@@ -64,6 +67,17 @@
         return this.#body.sizeBytes;
     }
 
+    /** How often a head or a piece of the body was complete. */
+    get progressCount(): number {
+        return this.#informationalCount + (this.#head === undefined ? 0 : 1) + this.#pieceCount
+            + (this.#isEnded ? 1 : 0);
+    }
+
+    /** Number of the next bytes that are certainly part of the body. */
+    get knownBodyBytes(): number {
+        return this.#isEnded || this.#lengthBytes === undefined ? 0 : this.#lengthBytes - this.bodyBytes;
+    }
+
     /** Sends a request; its result is {@link result}. */
     start(client: Client, request: Dispatcher.DispatchOptions): void {
         try {
@@ -95,33 +109,30 @@
         if (status < 200) {
             this.#informationalCount++;
             if (this.#informationalCount > maxInformational) {
-                this.fail(new Error(`more than ${maxInformational} informational responses`));
+                this.fail(new ExcessError(`more than ${maxInformational} informational responses`));
             }
             return;
         }
         const head = { status, headers: flattenHeaders(headers) };
         if (headBytes(head) > maxHeadBytes) {
-            this.fail(new Error(`the head exceeds ${maxHeadBytes} bytes`));
+            this.fail(new ExcessError(`the head exceeds ${maxHeadBytes} bytes`));
             return;
         }
         this.#head = head;
+        this.#lengthBytes = lengthOf(head);
         const reason = this.#options.rejectionOf(head);
         if (reason !== undefined) {
             this.#end({ kind: "rejected", reason });
         }
     }
 
-    onResponseData(controller: Dispatcher.DispatchController, piece: Buffer): void {
+    onResponseData(_controller: Dispatcher.DispatchController, piece: Buffer): void {
         if (this.#isEnded) {
             return;
         }
+        this.#pieceCount++;
         this.#body.append(piece);
         this.#account.add(piece.length);
-        this.#pieceCount++;
-        if (this.#pieceCount % piecesPerTurn === 0 && !this.#isEnded) {
-            controller.pause();
-            setImmediate(() => controller.resume());
-        }
     }
 
     onResponseEnd(): void {
@@ -148,6 +159,15 @@
     }
 }
 
+/** Undici rejects a length that is no whole number. */
+const lengthOf = ({ headers }: ResponseHead): number | undefined => {
+    if (headers.some(([name]) => name === "transfer-encoding")) {
+        return undefined;
+    }
+    const length = headers.find(([name]) => name === "content-length");
+    return length === undefined ? Infinity : Number(length[1]) || 0;
+};
+
 /** Size of the headers on the wire: each adds ": " and a line break. */
 const headBytes = ({ headers }: ResponseHead): number =>
     headers.reduce((sum, [name, value]) => sum + name.length + value.length + 4, 0);
--- a/packages/gateway/src/lib/request/upstream-connection-pool.ts
+++ b/packages/gateway/src/lib/request/upstream-connection-pool.ts
@@ -1,17 +1,20 @@
 /** Sends HTTP requests to upstreams with undici, one request at a time on each connection. */
 import type { Clock, UpstreamId } from "@sniperoad/core";
-import { framingOf, isNotSent, refusesConnections } from "@sniperoad/daemon";
-import type { ResponseFraming } from "@sniperoad/daemon";
+import { framingOf, refusesConnections } from "@sniperoad/daemon";
 import { buildConnector, Client } from "undici";
 import type { Dispatcher } from "undici";
 import { errorMessage } from "../errors.js";
-import type { ListedUpstream, ResponseMetadata } from "../model.js";
+import type { ListedUpstream } from "../model.js";
 import { BufferBudget } from "./buffer-budget.js";
+import { classifyFailure, encodingOf, mismatchOf } from "./call-result.js";
+import { ParserTurns } from "./parser-turns.js";
 import type { HeaderCodec, UpstreamClient, UpstreamRequest, UpstreamResult } from "./ports.js";
-import { ResponseReader } from "./response-reader.js";
+import { ExcessError, ResponseReader } from "./response-reader.js";
 import type { ReadResult } from "./response-reader.js";
-import { maxOverheadBytes, UpstreamConnection } from "./upstream-connection.js";
+import { TrialRequests } from "./trial-requests.js";
+import { UpstreamConnection } from "./upstream-connection.js";
 import { WasteMeter } from "./waste-meter.js";
+import type { Waste } from "./waste-meter.js";
 
 /** Maximum time to connect. Upstreams are milliseconds away; on a broken path a connection attempt gets no response. */
 const connectTimeoutMs = 200;
@@ -26,6 +29,8 @@
 const maxResponseBytes = 16 * 1_048_576;
 /** Maximum size of all responses that are being read, whatever memory the machine has. */
 const maxBufferedBytes = 48 * 1_048_576;
+/** Part of it for what is not parsed yet and the parser's objects, so that these take no memory from bodies. */
+const parserShare = 0.25;
 /** Number of requests after which a connection is closed, which bounds the ids that are kept for it. */
 const maxRequestsPerConnection = 100;
 /** Maximum number of idle connections to each upstream; an instance rarely has more requests in flight to one. */
@@ -72,26 +77,38 @@
     /** Ids of the requests that were sent on the connection of a client. */
     readonly #requestIds = new WeakMap<Client, Set<string>>();
     readonly #buffers: BufferBudget;
+    readonly #parserBuffers: BufferBudget;
+    readonly #turns = new ParserTurns();
     readonly #waste: WasteMeter;
+    readonly #trials: TrialRequests;
     /** Number of connections opened since the start. */
     openedCount = 0;
 
     constructor(options: UpstreamConnectionPoolOptions) {
         this.#options = options;
         this.#waste = new WasteMeter(options.clock);
-        this.#buffers = new BufferBudget(options.maxBufferedBytes ?? maxBufferedBytes);
+        this.#trials = new TrialRequests(options.clock);
+        const bufferedBytes = options.maxBufferedBytes ?? maxBufferedBytes;
+        // On a small machine, a single response of the maximum size is still served.
+        this.#buffers = new BufferBudget(Math.max(bufferedBytes * (1 - parserShare), maxResponseBytes));
+        this.#parserBuffers = new BufferBudget(bufferedBytes * parserShare);
     }
 
-    /** Bytes of responses that are being read. */
+    /** Bytes of responses that are being read, with the parser's objects. */
     get bufferedBytes(): number {
-        return this.#buffers.totalBytes;
+        return this.#buffers.totalBytes + this.#parserBuffers.totalBytes;
     }
 
     async call(request: UpstreamRequest): Promise<UpstreamResult> {
+        const { id, address } = request.upstream;
+        const endTrial = this.#waste.isExhausted(id) ? undefined : this.#trials.tryBegin(id);
+        return endTrial === undefined
+            ? { kind: "refused", reason: `too many bytes that are no answer came from ${address}` }
+            : this.#send(request).finally(endTrial);
+    }
+
+    async #send(request: UpstreamRequest): Promise<UpstreamResult> {
         const { address } = request.upstream;
-        if (this.#waste.isExhausted(request.upstream.id)) {
-            return { kind: "refused", reason: `too many bytes that are no answer came from ${address}` };
-        }
         let client: Client;
         try {
             client = this.#acquire(request);
@@ -125,6 +142,7 @@
     /** Closes idle connections to upstreams that are no longer listed, and forgets what was metered. */
     retain(isListed: (upstream: UpstreamId) => boolean): void {
         this.#waste.retain(isListed);
+        this.#trials.retain(isListed);
         for (const [upstream, connections] of this.#idle) {
             if (!isListed(upstream)) {
                 this.#idle.delete(upstream);
@@ -167,7 +185,10 @@
                         done(error, null);
                         return;
                     }
-                    const connection = new UpstreamConnection(socket);
+                    const connection = new UpstreamConnection(socket, {
+                        turns: this.#turns,
+                        buffers: this.#parserBuffers,
+                    });
                     this.#connections.set(client, connection);
                     const reader = this.#readers.get(client);
                     if (reader !== undefined) {
@@ -179,7 +200,7 @@
             keepAliveMaxTimeout: idleTimeoutMs,
             maxResponseSize: maxResponseBytes,
             // undici checks this at each header line, and goes on with the others; the connection and the reader end it.
-            maxHeaderSize: 2 * maxOverheadBytes + maxResponseBytes,
+            maxHeaderSize: maxResponseBytes,
             // Each request has its own timeout.
             headersTimeout: 0,
             bodyTimeout: 0,
@@ -228,10 +249,10 @@
         }
         try {
             const result = await reader.result;
-            if (result.kind !== "whole") {
-                const overheadBytes = this.#connections.get(client)?.overheadBytes ?? 0;
-                this.#waste.record(request.upstream.id, { overheadBytes, bodyBytes: reader.bodyBytes });
-            }
+            this.#recordWaste(result, request.upstream.id, {
+                overheadBytes: this.#connections.get(client)?.overheadBytes ?? 0,
+                bodyBytes: reader.bodyBytes,
+            });
             return await this.#evaluate(result, request, client, state);
         }
         finally {
@@ -240,6 +261,17 @@
         }
     }
 
+    #recordWaste(result: ReadResult, upstream: UpstreamId, waste: Waste): void {
+        if (result.kind === "whole") {
+            this.#trials.recordWhole(upstream);
+            return;
+        }
+        this.#waste.record(upstream, waste);
+        if (result.kind === "failed" && isExcess(result.error)) {
+            this.#trials.recordExcess(upstream);
+        }
+    }
+
     /** Lets the connection of a client meter the response that it is about to receive. */
     #attach(client: Client, reader: ResponseReader): void {
         this.#readers.set(client, reader);
@@ -273,45 +305,10 @@
     }
 }
 
-const encodingOf = (framing: ResponseFraming): string | undefined =>
-    framing === "encoded" ? "body is encoded for the transfer" : undefined;
-
-/**
- * Why a response is not known to belong to the request; undefined if it does. One that names no request may be a
- * repetition of an earlier one, and one with an encoded body is not what the upstream sends.
- */
-const mismatchOf = ({ requestId, isEncoded }: ResponseMetadata, request: UpstreamRequest): string | undefined => {
-    if (requestId !== request.requestId) {
-        return requestId === undefined ? "answer names no request" : "answer names another request";
-    }
-    return isEncoded ? "body is encoded" : undefined;
-};
-
 const destroy = (client: Client): void => {
     // The requests of a destroyed client have ended already, so nothing depends on the result.
     client.destroy().catch(() => {});
 };
 
-/** Codes of errors that undici raises for a request before it sends anything. */
-const invalidRequestCodes = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
-
-interface FailureContext {
-    readonly isTimeout: boolean;
-    readonly isCancelled: boolean;
-    readonly hadHeaders: boolean;
-}
-
-const classifyFailure = (error: unknown, { isTimeout, isCancelled, hadHeaders }: FailureContext): UpstreamResult => {
-    if (isCancelled) {
-        return { kind: "cancelled" };
-    }
-    if (isTimeout) {
-        return { kind: "timeout" };
-    }
-    const code = String((error as { code?: unknown; }).code ?? "");
-    const reason = `${code} ${errorMessage(error)}`.trim();
-    if (invalidRequestCodes.has(code)) {
-        return { kind: "invalid", reason };
-    }
-    return isNotSent(error) ? { kind: "refused", reason } : { kind: "broken", reason, hadHeaders };
-};
+const isExcess = (error: Error): boolean =>
+    error instanceof ExcessError || (error as { code?: unknown; }).code === "UND_ERR_RES_EXCEEDED_MAX_SIZE";
