--- a/packages/gateway/src/lib/fleet/fleet-exchange.ts
+++ b/packages/gateway/src/lib/fleet/fleet-exchange.ts
@@ -301,13 +301,11 @@
         this.#rosterUpdater.recordHeard(key, instanceInfo(heartbeat), heartbeat, 0);
         for (const collection of sharedCollections) {
             const stated = heartbeat[collection];
-            if (stated === undefined) {
-                continue;
+            if (stated !== undefined) {
+                roster.recordRevision(key, collection, stated.revision);
+                roster.recordReader(key, collection, stated.reader, 0);
+                onRevision(collection, stated.revision, stated.confirmedAgeMs);
             }
-            const { revision, confirmedAgeMs, reader } = stated;
-            roster.recordRevision(key, collection, revision);
-            roster.recordReader(key, collection, reader, 0);
-            onRevision(collection, revision, confirmedAgeMs);
         }
         if (purpose === "report") {
             this.#publisher.recordReport(heartbeat, isUrgent);
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -16,7 +16,6 @@
 import type { FleetSize, RemoteRates } from "./rates/fleet-rate-limiter.js";
 import { CrashTracker } from "./request/crash-tracker.js";
 import type { HeaderCodec } from "./request/ports.js";
-import type { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
 import { CurrentConfig } from "./routing/current-config.js";
 import type { GatewaySettings } from "./settings.js";
 import { ColdUpstreams } from "./statements/cold-upstreams.js";
@@ -318,34 +317,6 @@
     gray.reset(upstream);
 };
 
-/** Removes the state of upstreams that are no longer listed, and idle connections to those that must get no requests. */
-export const pruneState = (
-    { upstreams, evacuations, gray, floor, statements, meters, outages, permits, cold }: FleetComponents,
-    connections: UpstreamConnectionPool,
-): void => {
-    const isListed = (upstream: Parameters<UpstreamRegistry["get"]>[0]): boolean =>
-        upstreams.get(upstream) !== undefined;
-    gray.retain(isListed);
-    floor.retain(isListed);
-    statements.retain(isListed);
-    outages.retain(isListed);
-    permits.retain(isListed);
-    permits.review();
-    cold.review(upstreams.live());
-    meters.retainPermits(upstream => cold.isCold(upstream));
-    meters.retain(upstream => {
-        const known = upstreams.get(upstream);
-        return known !== undefined && statements.limitOf(known.listed) !== undefined;
-    });
-    connections.retain(upstream => {
-        const known = upstreams.get(upstream);
-        return known !== undefined
-            && !statements.isLeaving(known.listed)
-            && evacuations?.isEvacuated(known.listed.zone) !== true;
-    });
-    statements.renew();
-};
-
 const rateOptions = ({ rateWindowSeconds, rateOverage, rateSlack }: GatewaySettings) => ({
     windowMs: rateWindowSeconds * 1_000,
     overage: rateOverage,
--- a/packages/gateway/src/lib/store/zone-evacuations.test.ts
+++ b/packages/gateway/src/lib/store/zone-evacuations.test.ts
@@ -3,8 +3,8 @@
 import { VirtualClock } from "@sniperoad/core/testing";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { pruneState } from "../gateway-components.js";
 import type { FleetComponents } from "../gateway-components.js";
+import { pruneState } from "../prune-state.js";
 import type { UpstreamConnectionPool } from "../request/upstream-connection-pool.js";
 import { LimitMeters } from "../statements/limit-meters.js";
 import { UpstreamStatements } from "../statements/upstream-statements.js";
@@ -97,8 +97,17 @@
     upstreams.replace({ revision: 10, items }, { isAfterOutage: false, isFromPeer: false });
     registry.replace({ revision: 20, items: itemsOf(zoneA) }, fromStore);
     const retainer = { retain: () => {} };
-    const statements = { ...retainer, isLeaving: () => false, renew: () => {} };
-    const fleet = { upstreams, evacuations: registry, statements, gray: retainer, floor: retainer, meters: retainer };
+    const fleet = {
+        upstreams,
+        evacuations: registry,
+        statements: { ...retainer, isLeaving: () => false, renew: () => {} },
+        gray: retainer,
+        floor: retainer,
+        outages: retainer,
+        permits: { ...retainer, review: () => {} },
+        cold: { review: () => {} },
+        meters: { ...retainer, retainPermits: () => {} },
+    };
     const kept: boolean[] = [];
     pruneState(fleet as unknown as FleetComponents, {
         retain: (isKept: (upstream: string) => boolean) => kept.push(isKept("u1"), isKept("u2")),
