Share the retry budget over the fleet by need

Each instance had 1/n of the burst and the share of its own requests, so extra attempts were denied at instances that met more failures while others left theirs unused. Requests and extra attempts of each service now ride in the usage of heartbeats and digests, and an instance takes an extra attempt while every window that contains the present stays within the bound; what others have not reported yet thins them out. An instance that hears less than half of the others keeps to its own part.

--- a/packages/gateway/src/lib/fleet/fleet-view.ts
+++ b/packages/gateway/src/lib/fleet/fleet-view.ts
@@ -141,12 +141,11 @@
     }
 
     /**
-     * Share of the window of the rates that the usage of the other instances does not cover, from 0 to 1: after a restart of
-     * many processes nobody knows what they admitted before.
+     * Share of a window that the usage of the other instances does not cover, from 0 to 1: after a restart of many processes
+     * nobody knows what they admitted before.
      */
-    uncoveredShare(): number {
+    uncoveredShare(windowMs = this.#usageWindowMs()): number {
         const nowMs = this.#clock.monotonicMs();
-        const windowMs = this.#usageWindowMs();
         let [uncovered, members] = [0, 0];
         for (const { current, inherited } of this.#zones.values()) {
             if (current !== undefined && nowMs - current.receivedMs <= usageExpiryMs) {
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -3,8 +3,11 @@
 import { splitAddress, TcpPeers } from "@sniperoad/daemon";
 import { FleetLoad } from "./balance/fleet-load.js";
 import type { RemoteLoads } from "./balance/fleet-load.js";
+import { RetryBudget } from "./balance/retry-budget.js";
+import type { RemoteAttempts } from "./balance/retry-budget.js";
 import type { DirectoryResponse } from "./fleet/directory.js";
 import { FleetExchange } from "./fleet/fleet-exchange.js";
+import type { Heartbeat } from "./fleet/heartbeat.js";
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
 import { GrayFailureEstimator } from "./health/gray-failure-estimator.js";
@@ -73,6 +76,7 @@
     readonly gray: GrayFailureEstimator;
     readonly load: FleetLoad;
     readonly rates: FleetRateLimiter;
+    readonly retryBudget: RetryBudget;
     readonly floor: UpstreamFloor;
     readonly outcomes: SharedOutcomes;
     readonly crashes: CrashTracker;
@@ -119,7 +123,7 @@
         fleetSize,
         shareStatements: heard => exchange.sendToAll({ kind: "statements", statements: heard }),
     });
-    const { outcomes, crashes, rates, load, statements } = evidence;
+    const { outcomes, crashes, rates, retryBudget, load, statements } = evidence;
     const endsAtMs = (): number | undefined => flags.endsAtMs;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const common = { self, clock, random, sha256, log, roster };
@@ -147,7 +151,7 @@
             isReady: isReady(),
             isLeaving: flags.isLeaving,
             ...state.collectionStates(),
-            ...rates.take(),
+            ...joinUsage(retryBudget.take(), rates.take()),
             inFlight: load.report(),
             ...outcomes.take(),
             crashes: crashes.report(),
@@ -195,17 +199,25 @@
         contact: address => exchange.contact(address),
     });
 
-const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates => ({
+/** What a heartbeat reports of rates and retry budgets. */
+type ReportedUsage = Pick<Heartbeat, "usage" | "hasScarceUsage">;
+
+const joinUsage = (first: ReportedUsage, second: ReportedUsage): ReportedUsage => ({
+    usage: [...first.usage, ...second.usage],
+    hasScarceUsage: first.hasScarceUsage || second.hasScarceUsage,
+});
+
+const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates & RemoteAttempts => ({
     usage: key => exchange().view.usage(key),
     reportDelayMs: () => exchange().reportDelayMs(),
-    uncoveredShare: () => exchange().view.uncoveredShare(),
+    uncoveredShare: (windowMs?: number) => exchange().view.uncoveredShare(windowMs),
     onScarce: () => exchange().sendUsageSoon(),
 });
 
 /** State about upstreams, loads and rates, derived from the requests of all instances. */
 type Evidence = Pick<
     FleetComponents,
-    "gray" | "load" | "rates" | "floor" | "outcomes" | "crashes" | "statements" | "meters"
+    "gray" | "load" | "rates" | "retryBudget" | "floor" | "outcomes" | "crashes" | "statements" | "meters"
 >;
 
 const createEvidence = (
@@ -236,6 +248,13 @@
         }),
         load: new FleetLoad(onLoad, remoteLoads),
         rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
+        retryBudget: new RetryBudget({
+            clock,
+            random,
+            limits: () => retryOptions(settings()),
+            remote: remoteRates,
+            reach: fleetSize,
+        }),
         outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce, onRemote }),
         crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
     };
@@ -249,7 +268,7 @@
     /** Called when the requests in flight change. */
     readonly onLoad: () => void;
     readonly remoteLoads: RemoteLoads;
-    readonly remoteRates: RemoteRates;
+    readonly remoteRates: RemoteRates & RemoteAttempts;
     readonly fleetSize: () => FleetSize;
     /** Sends statements of upstreams to all other instances. */
     readonly shareStatements: (statements: readonly SharedStatement[]) => void;
@@ -282,6 +301,12 @@
     statements.renew();
 };
 
+const retryOptions = ({ retryShare, retryBurst, retryWindowSeconds }: GatewaySettings) => ({
+    share: retryShare,
+    burst: retryBurst,
+    windowMs: retryWindowSeconds * 1_000,
+});
+
 const rateOptions = ({ rateWindowSeconds, rateOverage, rateSlack }: GatewaySettings) => ({
     windowMs: rateWindowSeconds * 1_000,
     overage: rateOverage,
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -3,7 +3,6 @@
 import { Admission } from "./admission/admission.js";
 import { AnswerTimes } from "./admission/answer-times.js";
 import { utilizationOf } from "./admission/service-load.js";
-import { RetryBudget } from "./balance/retry-budget.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
 import { PathBackoff } from "./health/path-backoff.js";
@@ -30,7 +29,8 @@
     connections: UpstreamConnectionPool,
 ): RequestComponents => {
     const { clock, random, log, sha256, headers, settings } = options;
-    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters } = fleet;
+    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters, retryBudget } =
+        fleet;
     const paths = new PathBackoff(clock);
     const answerTimes = new AnswerTimes<RouteId>(clock);
     const serviceTimes = new AnswerTimes<ServiceId>(clock);
@@ -47,10 +47,6 @@
             limitPerSecond: listed => statements.limitOf(listed),
             answerTimeMs: serviceTimes.quantile(service, 0.5),
         }, clock);
-    const retryBudget = new RetryBudget(clock, () => {
-        const { retryShare, retryBurst, retryWindowSeconds } = settings();
-        return { share: retryShare, burst: retryBurst, windowMs: retryWindowSeconds * 1_000 };
-    });
     const dispatcher = new UpstreamDispatcher({
         clock,
         log,
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -172,7 +172,7 @@
                 retryAfterMs: decision.retryAfterMs,
             });
         }
-        retryBudget.recordRequest(service, fleetSize().known);
+        retryBudget.recordRequest(service);
         const dispatched: DispatchedRequest = {
             request,
             body,
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -1,6 +1,8 @@
 /** Test fixtures. */
 import { id } from "@sniperoad/core";
-import type { OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "@sniperoad/core";
+import type { Clock, OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "@sniperoad/core";
+import { RetryBudget } from "../balance/retry-budget.js";
+import type { RetryBudgetOptions } from "../balance/retry-budget.js";
 import type { HeartbeatPayload } from "../fleet/fleet-exchange.js";
 import type { CollectionState } from "../fleet/heartbeat.js";
 import type {
@@ -76,6 +78,21 @@
     retryAfterMs: undefined,
 };
 
+/** Retry budget of an instance that is the whole fleet, unless it knows of others that it does not hear. */
+export const aloneBudget = (clock: Clock, limits: RetryBudgetOptions, known = 1): RetryBudget =>
+    new RetryBudget({
+        clock,
+        random: () => 0.5,
+        limits: () => limits,
+        remote: {
+            usage: () => ({ admitted: 0, offered: 0 }),
+            reportDelayMs: () => 600,
+            uncoveredShare: () => 0,
+            onScarce: () => {},
+        },
+        reach: () => ({ live: 1, known }),
+    });
+
 const idleCollectionState: CollectionState = { revision: 0, confirmedAgeMs: undefined, reader: "idle" };
 
 /** Payload of an instance that accepts requests but has neither state nor requests. */
