Hedge by the route's observed times, within a share

Hedged requests were sent after 0.55 of the objective, which is far more than usual for routes with a wide objective, and only the retry budget limited them. The delay is now the 0.95 quantile of the route's attempts, cancelled ones included, and hedgeShare limits them to a share of the requests. A hedged request goes to no suspect. An attempt that lost after 0.6 of the objective counts as silence, as a hang left no trace before. Metrics count those sent, won and denied.

--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -41,6 +41,18 @@
         buckets: latencyBuckets,
         registers: [this.#registry],
     });
+    readonly #hedges = new Counter({
+        name: "sniperoad_hedged_requests_total",
+        help: "Requests that were also sent to a second upstream, and those that it answered first",
+        labelNames: ["result"],
+        registers: [this.#registry],
+    });
+    readonly #hedgesDenied = new Counter({
+        name: "sniperoad_hedges_denied_total",
+        help: "Slow requests that were not sent to a second upstream, by reason",
+        labelNames: ["reason"],
+        registers: [this.#registry],
+    });
     readonly #storeCalls = new Counter({
         name: "sniperoad_store_calls_total",
         help: "Calls to the object store by kind and result",
@@ -75,6 +87,14 @@
         this.#storeCalls.inc({ call, result });
     }
 
+    recordHedge(result: string): void {
+        this.#hedges.inc({ result });
+    }
+
+    recordHedgeDenied(reason: string): void {
+        this.#hedgesDenied.inc({ reason });
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     text(): Promise<string> {
         return this.#registry.metrics();
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -3,9 +3,12 @@
 import { Admission } from "./admission/admission.js";
 import { AnswerTimes } from "./admission/answer-times.js";
 import { utilizationOf } from "./admission/service-load.js";
+import { Hedging } from "./balance/hedging.js";
+import type { HedgingOptions } from "./balance/hedging.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
 import { PathBackoff } from "./health/path-backoff.js";
+import type { GatewayRoute } from "./model.js";
 import type { GatewayMetrics } from "./observe/metrics.js";
 import { RequestHandler } from "./request/request-handler.js";
 import type { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
@@ -47,6 +50,8 @@
             limitPerSecond: listed => statements.limitOf(listed),
             answerTimeMs: serviceTimes.quantile(service, 0.5),
         }, clock);
+    const hasHope = ({ id, targetLatencyMs }: Pick<GatewayRoute, "id" | "targetLatencyMs">, leftMs: number): boolean =>
+        admission.hasHope({ route: id, targetLatencyMs }, leftMs);
     const dispatcher = new UpstreamDispatcher({
         clock,
         log,
@@ -62,8 +67,11 @@
         statements,
         candidates: service => willing.among(upstreams.forService(service)),
         crashes,
-        hasHope: ({ id, targetLatencyMs }, leftMs) => admission.hasHope({ route: id, targetLatencyMs }, leftMs),
-        hasRoom: service => utilization(service) < 1,
+        hasHope,
+        hedging: createHedging(options, fleet, metrics, {
+            hasHope,
+            hasRoom: service => utilization(service) < 1,
+        }),
         answerTimeMs: service => serviceTimes.quantile(service, 0.25),
         onAnswer: ({ route, service }, tookMs) => {
             answerTimes.record(route.id, tookMs);
@@ -93,6 +101,22 @@
     return { connections, handler, metrics };
 };
 
+const createHedging = (
+    { clock, random, settings }: GatewayOptions,
+    { retryBudget }: FleetComponents,
+    metrics: GatewayMetrics,
+    limits: Pick<HedgingOptions, "hasHope" | "hasRoom">,
+): Hedging =>
+    new Hedging({
+        clock,
+        random,
+        share: () => settings().hedgeShare,
+        retryBudget,
+        ...limits,
+        onHedge: result => metrics.recordHedge(result),
+        onDenied: reason => metrics.recordHedgeDenied(reason),
+    });
+
 /**
  * Returns why the configuration counts as unconfirmed: a change that must be in force by now could have been missed.
  * Undefined if it is confirmed, or if the settings do not refuse unconfirmed configurations.
--- a/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
@@ -4,6 +4,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { FleetLoad } from "../balance/fleet-load.js";
+import { Hedging } from "../balance/hedging.js";
+import type { RetryBudget } from "../balance/retry-budget.js";
 import { UpstreamSelector } from "../balance/upstream-selector.js";
 import { GrayFailureEstimator } from "../health/gray-failure-estimator.js";
 import { PathBackoff } from "../health/path-backoff.js";
@@ -48,6 +50,16 @@
 /** Options of what instances share, for an instance that is alone. */
 const noOthers = { ownKey: 1, upstreamsOf: () => [], announce: () => {} };
 
+const hedgingWith = (clock: VirtualClock, retryBudget: RetryBudget): Hedging =>
+    new Hedging({
+        clock,
+        random: seededRandom(1),
+        share: () => undefined,
+        retryBudget,
+        hasHope: (_route, leftMs) => leftMs > 0,
+        hasRoom: () => true,
+    });
+
 const runScript = async (script: Script) => {
     const { results, isIdempotent = false, maxAttempts = 2, isDown = false, earlierRequests = 2 } = script;
     const { suspects = [], seed = 1 } = script;
@@ -93,7 +105,7 @@
         candidates: () => ["u1", "u2", "u3"].map(name => knownUpstream(name)),
         crashes,
         hasHope: (_route, leftMs) => leftMs > 0,
-        hasRoom: () => true,
+        hedging: hedgingWith(clock, retryBudget),
         answerTimeMs: () => undefined,
         onAnswer: () => {},
     });
--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -1,30 +1,30 @@
 /** Sends a request to upstreams, with retries and hedging where they are allowed. */
 import type { Clock, LogPort, ServiceId, Timer, UpstreamId } from "@sniperoad/core";
-import { match } from "ts-pattern";
 import type { FleetLoad } from "../balance/fleet-load.js";
+import type { Hedging } from "../balance/hedging.js";
 import type { RetryBudget } from "../balance/retry-budget.js";
 import type { Selection, UpstreamSelector } from "../balance/upstream-selector.js";
 import type { PathBackoff } from "../health/path-backoff.js";
 import type { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { UpstreamFloor } from "../health/upstream-floor.js";
-import type { GatewayRoute, ListedUpstream } from "../model.js";
+import type { GatewayRoute } from "../model.js";
 import type { LimitMeters } from "../statements/limit-meters.js";
 import type { UpstreamStatements } from "../statements/upstream-statements.js";
 import type { KnownUpstream } from "../store/upstream-registry.js";
+import { AttemptEvaluator } from "./attempt-evaluator.js";
 import type { CrashTracker } from "./crash-tracker.js";
 import type { DispatchedRequest, DispatchResult } from "./dispatch.js";
-import type { HeaderCodec, UpstreamClient, UpstreamResponse, UpstreamResult } from "./ports.js";
-
-/**
- * Fraction of the target latency after which an idempotent request is also sent to a second upstream. Most responses
- * arrive well before it, and enough time is left for the second one.
- */
-const hedgeDelayFraction = 0.55;
+import type { HeaderCodec, UpstreamClient, UpstreamResult } from "./ports.js";
 
 /** Fraction of the target latency that a quarter of the answers take, as long as it is not known. */
 const assumedAnswerFraction = 0.15;
 /** Fraction of the target latency after which an upstream that has not responded counts as silent. */
 const silenceFraction = 1;
+/**
+ * Fraction of the target latency after which an attempt that lost to a hedged request counts as silent. Otherwise a hang
+ * would leave no trace, since it is cancelled before the target latency.
+ */
+const loserSilenceFraction = 0.6;
 /** Number of failed connections after which a request is not retried. They are not attempts, as nothing was sent. */
 const maxFailedConnections = 4;
 
@@ -47,8 +47,7 @@
     readonly crashes: CrashTracker;
     /** Whether an answer is possible within a time. */
     readonly hasHope: (route: GatewayRoute, leftMs: number) => boolean;
-    /** Whether the service has free slots, so that a hedged request takes none from others. */
-    readonly hasRoom: (service: ServiceId) => boolean;
+    readonly hedging: Hedging;
     /** Lower quartile of the answer times of a service; undefined if it is not known. */
     readonly answerTimeMs: (service: ServiceId) => number | undefined;
     /** Called with the time of each successful attempt. */
@@ -75,12 +74,15 @@
  */
 export class UpstreamDispatcher {
     readonly #options: UpstreamDispatcherOptions;
+    readonly #evaluator: AttemptEvaluator;
 
     constructor(options: UpstreamDispatcherOptions) {
         this.#options = options;
+        this.#evaluator = new AttemptEvaluator(options);
     }
 
     async run(dispatched: DispatchedRequest): Promise<DispatchResult> {
+        this.#options.hedging.recordRequest(dispatched.service);
         const progress: Progress = {
             dispatched,
             tried: new Set(),
@@ -116,17 +118,33 @@
                 this.#startAttempt(progress, selection, signal, running);
             }
             const isHedgeDue = await this.#waitForAttempt(progress, running);
-            const mayHedge = isHedgeDue && running.size > 0 && this.#options.hasRoom(progress.dispatched.service);
-            if (mayHedge && this.#mayStartAttempt(progress)) {
-                const selection = this.#select(progress);
-                if (selection !== undefined) {
-                    this.#options.log.event("request-hedged", { request: progress.dispatched.request.requestId });
-                    this.#startAttempt(progress, selection, signal, running);
-                }
+            if (isHedgeDue && running.size > 0 && !progress.dispatched.signal.aborted) {
+                this.#hedge(progress, signal, running);
             }
         }
     }
 
+    /** Starts a second attempt while the first one is running, if that is allowed. */
+    #hedge(progress: Progress, signal: AbortSignal, running: Set<Promise<void>>): void {
+        const { hedging, clock, log } = this.#options;
+        const { dispatched, sent } = progress;
+        const { route, service, rank, deadlineAtMs, request } = dispatched;
+        // The second upstream is to answer soon, so no suspect is tried.
+        const selection = this.#select(progress, false);
+        const leftMs = deadlineAtMs - clock.monotonicMs();
+        const hasUpstream = selection !== undefined;
+        if (hedging.tryHedge({ route, service, rank, leftMs, sent, hasUpstream }) && selection !== undefined) {
+            log.event("request-hedged", {
+                request: request.requestId,
+                route: route.id,
+                upstream: selection.upstream.listed.id,
+                delayMs: Math.round(hedging.delayMs(route)),
+                leftMs: Math.round(leftMs),
+            });
+            this.#startAttempt(progress, selection, signal, running, true);
+        }
+    }
+
     /** Waits until an attempt ends; returns true if the hedge delay passed first. */
     async #waitForAttempt({ dispatched, sent }: Progress, running: ReadonlySet<Promise<void>>): Promise<boolean> {
         const { clock } = this.#options;
@@ -136,14 +154,14 @@
         }
         let timer: Timer | undefined;
         const hedge = new Promise<true>(resolve => {
-            timer = clock.after(dispatched.route.targetLatencyMs * hedgeDelayFraction, () => resolve(true));
+            timer = clock.after(this.#options.hedging.delayMs(dispatched.route), () => resolve(true));
         });
         const result = await Promise.race([hedge, ...running]);
         timer?.cancel();
         return result === true;
     }
 
-    /** Whether another attempt may start. If it is a retry or a hedge, this takes it from the retry budget. */
+    /** Whether another attempt may start. If it is a retry, this takes it from the retry budget. */
     #mayStartAttempt({ dispatched, sent, failedConnections, mayHaveRun }: Progress): boolean {
         const { retryBudget, clock, hasHope } = this.#options;
         const isUseful = hasHope(dispatched.route, dispatched.deadlineAtMs - clock.monotonicMs())
@@ -159,12 +177,13 @@
     }
 
     /** Selects the upstream of the next attempt; undefined if every candidate was tried. */
-    #select({ dispatched, tried }: Progress): Selection | undefined {
+    #select({ dispatched, tried }: Progress, mayProbe = true): Selection | undefined {
         return this.#options.selector.select({
             candidates: this.#options.candidates(dispatched.service),
             tried,
             // Without retry budget a failure is final, so the request must not go to an upstream that may be gray.
-            isRepeatable: dispatched.route.isIdempotent
+            isRepeatable: mayProbe
+                && dispatched.route.isIdempotent
                 && tried.size + 1 < dispatched.route.maxAttempts
                 && this.#options.retryBudget.hasCredit(dispatched.service, dispatched.rank),
             answerTimeMs: this.#options.answerTimeMs(dispatched.service)
@@ -172,19 +191,28 @@
         });
     }
 
-    #startAttempt(progress: Progress, selection: Selection, signal: AbortSignal, running: Set<Promise<void>>): void {
+    #startAttempt(
+        progress: Progress,
+        selection: Selection,
+        signal: AbortSignal,
+        running: Set<Promise<void>>,
+        isHedge = false,
+    ): void {
         this.#options.floor.recordUse(selection.upstream.listed.id);
         this.#options.meters.recordOwn(selection.upstream.listed.id);
         progress.sent++;
         progress.tried.add(selection.upstream.listed.id);
-        const attempt = this.#attempt(progress, selection, signal).then(() => {
+        const attempt = this.#attempt(progress, selection, signal).then(result => {
             running.delete(attempt);
+            if (isHedge && result === progress.last && isFinal(result) && result.kind === "answer") {
+                this.#options.hedging.recordWon();
+            }
         });
         running.add(attempt);
     }
 
-    async #attempt(progress: Progress, selection: Selection, signal: AbortSignal): Promise<void> {
-        const { clock, client, codec, load, outcomes } = this.#options;
+    async #attempt(progress: Progress, selection: Selection, signal: AbortSignal): Promise<DispatchResult> {
+        const { clock, client, codec, load, outcomes, hedging } = this.#options;
         const { dispatched } = progress;
         const { listed } = selection.upstream;
         const startMs = clock.monotonicMs();
@@ -216,88 +244,25 @@
             progress.sent--;
             progress.failedConnections++;
         }
-        const outcome = this.#evaluate(result, dispatched, listed);
+        const outcome = this.#evaluator.evaluate(result, dispatched, listed);
+        const tookMs = clock.monotonicMs() - startMs;
+        const isLoser = outcome.kind === "cancelled" && !dispatched.signal.aborted;
         if (outcome.kind === "answer" && !outcome.isFailure) {
-            this.#options.onAnswer(dispatched, clock.monotonicMs() - startMs);
+            this.#options.onAnswer(dispatched, tookMs);
         }
-        this.#logAttempt(progress, selection, result, clock.monotonicMs() - startMs);
+        if (isLoser && tookMs >= dispatched.route.targetLatencyMs * loserSilenceFraction) {
+            outcomes.record(listed.id, "silence");
+        }
+        if (isLoser || outcome.kind === "answer" && !outcome.isFailure) {
+            hedging.recordAttempt(dispatched.route.id, tookMs);
+        }
+        this.#logAttempt(progress, selection, result, tookMs);
         progress.mayHaveRun ||= outcome.kind !== "not-run" && outcome.kind !== "invalid";
         // A result that the caller can use is not replaced by a later failure.
         if (progress.last === undefined || !isFinal(progress.last)) {
             progress.last = outcome;
         }
-    }
-
-    /** Evaluates the result of an attempt, and records what it shows about the upstream. */
-    #evaluate(result: UpstreamResult, dispatched: DispatchedRequest, listed: ListedUpstream): DispatchResult {
-        const upstream = listed.id;
-        const { paths } = this.#options;
-        return match(result)
-            .with({ kind: "answer" }, ({ answer }): DispatchResult => {
-                paths.recordSuccess(upstream);
-                this.#options.crashes.clear(dispatched.fingerprint);
-                return this.#evaluateResponse(answer, listed);
-            })
-            .with({ kind: "refused" }, ({ reason }): DispatchResult => {
-                this.#recordPathFailure(listed);
-                return { kind: "not-run", reason };
-            })
-            .with({ kind: "invalid" }, ({ reason }): DispatchResult => ({ kind: "invalid", reason }))
-            .with({ kind: "broken" }, ({ reason, hadHeaders }): DispatchResult => {
-                this.#recordPathFailure(listed);
-                if (!hadHeaders) {
-                    void this.#recordIfCrashed(dispatched, listed);
-                }
-                return { kind: "unknown", reason, isTimeout: false };
-            })
-            .with({ kind: "foreign" }, ({ reason }): DispatchResult => ({ kind: "unknown", reason, isTimeout: false }))
-            .with({ kind: "timeout" }, (): DispatchResult => {
-                this.#recordPathFailure(listed);
-                return { kind: "unknown", reason: "no answer in time", isTimeout: true };
-            })
-            .with({ kind: "cancelled" }, (): DispatchResult => ({ kind: "cancelled" }))
-            .exhaustive();
-    }
-
-    #recordPathFailure(listed: ListedUpstream): void {
-        this.#options.paths.recordFailure(listed.id);
-        this.#options.client.closeIdle(listed);
-    }
-
-    /** A network failure can also break a connection; only an upstream that refuses connections has crashed. */
-    async #recordIfCrashed(dispatched: DispatchedRequest, listed: ListedUpstream): Promise<void> {
-        if (await this.#options.client.isDown(listed)) {
-            this.#options.log.event("upstream-crashed", {
-                request: dispatched.request.requestId,
-                upstream: listed.id,
-                fingerprint: dispatched.fingerprint,
-            });
-            this.#options.crashes.recordCrash(dispatched.fingerprint, listed.id);
-        }
-    }
-
-    #evaluateResponse(answer: UpstreamResponse, listed: ListedUpstream): DispatchResult {
-        const { outcomes, paths, statements } = this.#options;
-        const upstream = listed.id;
-        if (answer.metadata.isMisdirected) {
-            paths.recordFailure(upstream);
-            return { kind: "not-run", reason: "the address belongs to another upstream" };
-        }
-        if (answer.metadata.isNotRun || answer.metadata.isFromUpstream) {
-            statements.recordAnswer(listed, answer.metadata.statement);
-            if (answer.metadata.statement.isLeaving) {
-                this.#options.client.closeIdle(listed);
-            }
-        }
-        if (answer.metadata.isNotRun) {
-            return { kind: "not-run", reason: `the upstream refused it with ${answer.status}` };
-        }
-        if (!answer.metadata.isFromUpstream && answer.status < 500) {
-            return { kind: "unknown", reason: "the answer does not bear the upstream's mark", isTimeout: false };
-        }
-        const isFailure = answer.status >= 500;
-        outcomes.record(upstream, isFailure ? "failure" : "success");
-        return { kind: "answer", answer, isFailure };
+        return outcome;
     }
 
     /** Returns the result of a request for which no further attempt may start. */
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -38,6 +38,8 @@
     retryBurst: z.number().min(0),
     /** Window over which additional attempts are counted; a change applies only to services first seen afterwards. */
     retryWindowSeconds: positive.default(10),
+    /** Hedged requests as a share of a service's requests of the last 10 s; default: only the retry budget limits them. */
+    hedgeShare: z.number().min(0).optional(),
     /** Window over which the rate of an organisation is counted. */
     rateWindowSeconds: positive,
     /** Fraction by which an organisation's count in a window may exceed the limit of its rate and burst. */
