--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -3,10 +3,12 @@
 import { Admission } from "./admission/admission.js";
 import { AnswerTimes } from "./admission/answer-times.js";
 import { utilizationOf } from "./admission/service-load.js";
-import { RetryBudget } from "./balance/retry-budget.js";
+import { Hedging } from "./balance/hedging.js";
+import type { HedgingOptions } from "./balance/hedging.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
 import { PathBackoff } from "./health/path-backoff.js";
+import type { GatewayRoute } from "./model.js";
 import type { GatewayMetrics } from "./observe/metrics.js";
 import { RequestHandler } from "./request/request-handler.js";
 import type { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
@@ -30,9 +32,9 @@
     connections: UpstreamConnectionPool,
 ): RequestComponents => {
     const { clock, random, log, sha256, headers, settings } = options;
-    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters, outages, cold } =
+    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters, retryBudget } =
         fleet;
-    const { evacuations, fleetSize: reach } = fleet;
+    const { evacuations, outages, cold, fleetSize: reach } = fleet;
     const paths = new PathBackoff(clock);
     const answerTimes = new AnswerTimes<RouteId>(clock);
     const serviceTimes = new AnswerTimes<ServiceId>(clock);
@@ -49,10 +51,8 @@
             limitPerSecond: listed => willing.limitOf(listed),
             answerTimeMs: serviceTimes.quantile(service, 0.5),
         }, clock);
-    const retryBudget = new RetryBudget(clock, () => {
-        const { retryShare, retryBurst, retryWindowSeconds } = settings();
-        return { share: retryShare, burst: retryBurst, windowMs: retryWindowSeconds * 1_000 };
-    });
+    const hasHope = ({ id, targetLatencyMs }: Pick<GatewayRoute, "id" | "targetLatencyMs">, leftMs: number): boolean =>
+        admission.hasHope({ route: id, targetLatencyMs }, leftMs);
     const dispatcher = new UpstreamDispatcher({
         clock,
         log,
@@ -69,8 +69,11 @@
         outages,
         candidates: service => willing.among(upstreams.forService(service)),
         crashes,
-        hasHope: ({ id, targetLatencyMs }, leftMs) => admission.hasHope({ route: id, targetLatencyMs }, leftMs),
-        hasRoom: service => utilization(service) < 1,
+        hasHope,
+        hedging: createHedging(options, fleet, metrics, {
+            hasHope,
+            hasRoom: service => utilization(service) < 1,
+        }),
         answerTimeMs: service => serviceTimes.quantile(service, 0.25),
         onAnswer: ({ route, service }, tookMs) => {
             answerTimes.record(route.id, tookMs);
@@ -100,6 +103,22 @@
     return { connections, handler, metrics };
 };
 
+const createHedging = (
+    { clock, random, settings }: GatewayOptions,
+    { retryBudget }: FleetComponents,
+    metrics: GatewayMetrics,
+    limits: Pick<HedgingOptions, "hasHope" | "hasRoom">,
+): Hedging =>
+    new Hedging({
+        clock,
+        random,
+        share: () => settings().hedgeShare,
+        retryBudget,
+        ...limits,
+        onHedge: result => metrics.recordHedge(result),
+        onDenied: reason => metrics.recordHedgeDenied(reason),
+    });
+
 /**
  * Returns why the configuration counts as unconfirmed: a change that must be in force by now could have been missed.
  * Undefined if it is confirmed, or if the settings do not refuse unconfirmed configurations.
