--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -218,7 +218,9 @@
             progress.sent--;
             progress.failedConnections++;
         }
-        if (result.kind === "answer" && !result.answer.metadata.isMisdirected) {
+        if (
+            result.kind === "answer" && result.answer.metadata.isFromUpstream && !result.answer.metadata.isMisdirected
+        ) {
             this.#options.outages.recordAnswered(listed, startMs);
         }
         const outcome = this.#evaluate(result, dispatched, listed);
--- a/packages/gateway/src/lib/statements/upstream-outages.ts
+++ b/packages/gateway/src/lib/statements/upstream-outages.ts
@@ -17,7 +17,7 @@
 }
 
 /** Time after which an outage that continues is sent again, for instances that have lost it. */
-const repeatMs = 2_000;
+const repeatMs = 4_000;
 /** Delay after which news is sent once more, as a datagram may be lost. */
 const resendDelayMs = 250;
 /** Time after which an upstream that nobody has reached again counts as any other; its entry has lapsed by then. */
