--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -317,6 +317,7 @@
     outages.retain(isListed);
     permits.retain(isListed);
     permits.review();
+    cold.retain(upstream => upstreams.get(upstream)?.listed.state === "live");
     cold.review(upstreams.live());
     meters.retainPermits(upstream => cold.isCold(upstream));
     meters.retain(upstream => {
