--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -7,7 +7,7 @@
 import type { PathBackoff } from "../health/path-backoff.js";
 import type { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { UpstreamFloor } from "../health/upstream-floor.js";
-import type { GatewayRoute } from "../model.js";
+import type { GatewayRoute, ListedUpstream } from "../model.js";
 import type { LimitMeters } from "../statements/limit-meters.js";
 import type { UpstreamOutages } from "../statements/upstream-outages.js";
 import type { UpstreamStatements } from "../statements/upstream-statements.js";
--- a/packages/gateway/src/lib/store/zone-evacuations.test.ts
+++ b/packages/gateway/src/lib/store/zone-evacuations.test.ts
@@ -105,7 +105,7 @@
         floor: retainer,
         outages: retainer,
         permits: { ...retainer, review: () => {} },
-        cold: { review: () => {} },
+        cold: { ...retainer, review: () => {} },
         meters: { ...retainer, retainPermits: () => {} },
     };
     const kept: boolean[] = [];
