Pause after each trial request that ends with an excess

Endless responses of one upstream followed each other without a pause, since less of each is parsed and metered now. A body of more than 2 MB that is given up for memory starts a trial too.

--- a/packages/gateway/src/lib/request/upstream-connection-pool.ts
+++ b/packages/gateway/src/lib/request/upstream-connection-pool.ts
@@ -31,6 +31,8 @@
 const maxBufferedBytes = 48 * 1_048_576;
 /** Part of it for what is not parsed yet and the parser's objects, so that these take no memory from bodies. */
 const parserShare = 0.25;
+/** Size above which a response that is given up for memory counts as one without end; ordinary ones are under 1 MB. */
+const endlessBodyBytes = 2 * 1_048_576;
 /** Number of requests after which a connection is closed, which bounds the ids that are kept for it. */
 const maxRequestsPerConnection = 100;
 /** Maximum number of idle connections to each upstream; an instance rarely has more requests in flight to one. */
@@ -267,7 +269,8 @@
             return;
         }
         this.#waste.record(upstream, waste);
-        if (result.kind === "failed" && isExcess(result.error)) {
+        const isEndless = result.kind === "evicted" && waste.bodyBytes > endlessBodyBytes;
+        if (isEndless || result.kind === "failed" && isExcess(result.error)) {
             this.#trials.recordExcess(upstream);
         }
     }
