Leave room for the whole excess that replaced processes may have admitted

Cause: an organisation at its limit got 1,128 requests in 5 s (bound 1,109) while all processes were replaced: new processes assumed that the former ones had admitted the rate and the burst, not the excess that they may use. Change: the assumption covers everything that the former processes may have admitted.

--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.test.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.test.ts
@@ -178,6 +178,27 @@
     assert.ok(maxInWindow <= bound, `${maxInWindow} in one window, bound ${bound}`);
 });
 
+// Guards against new processes that admit the allowed excess, which the former ones may have used up as well.
+test("until the window is covered, new processes leave room for all that the former ones may have admitted", () => {
+    const organisation = testOrganisation({ ratePerSecond: 165, burst: 165 });
+    const remote = { usage: () => ({ admitted: 0, offered: 0 }), reportDelayMs: () => 500, onScarce: () => {} };
+    const setup = { clock: new VirtualClock(), random: () => 0, limits: () => ({ windowMs, overage, slack }) };
+    const admittedWhen = (uncoveredShare: number): number => {
+        const rates = new FleetRateLimiter({ ...setup, remote: { ...remote, uncoveredShare: () => uncoveredShare } });
+        const results = Array.from({ length: 2_000 }, () => rates.tryAdmit(organisation, { live: 42, known: 42 }));
+        return results.filter(({ isAdmitted }) => isAdmitted).length;
+    };
+    const before = admittedWhen(0);
+    assert.ok(before <= boundOf(organisation));
+    for (const uncoveredShare of [1, 0.66, 0.3]) {
+        const after = admittedWhen(uncoveredShare);
+        assert.ok(
+            after + before * uncoveredShare <= boundOf(organisation),
+            `${after} with ${uncoveredShare} uncovered`,
+        );
+    }
+});
+
 // Guards against partitioned instances that each admit the whole rate.
 test("admissions stay within the bound while a third of the instances is partitioned", async () => {
     const { maxInWindow } = await simulate({
--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
@@ -145,6 +145,7 @@
         const windowLimit = organisation.ratePerSecond * windowMs / 1_000 + organisation.burst;
         const excess = windowLimit * overage + slack;
         const bound = windowLimit + excess;
+        const safeBound = bound - safetyShare * excess;
         const instanceLimit = windowLimit / Math.max(1, size.known);
         if (size.live * 2 < size.known) {
             const counted = account.admitted.total() + 1;
@@ -152,16 +153,15 @@
         }
         const assumedUnreachable = (size.known - size.live) * instanceLimit;
         const remote = this.#remote.usage(nameKey(organisation.id));
-        // Processes that were replaced together may have admitted the rate and the burst before.
+        // Processes that were replaced together may have admitted all that they would.
         const uncoveredShare = this.#remote.uncoveredShare();
-        const assumedBefore = windowLimit * uncoveredShare;
+        const assumedBefore = safeBound * uncoveredShare;
         const used = account.admitted.total() + remote.admitted + assumedUnreachable + assumedBefore + 1;
         const reportDelayMs = used >= bound * scarceShare
             ? Math.min(scarceReportDelayMs, this.#remote.reportDelayMs())
             : this.#remote.reportDelayMs();
         const assumedRate = organisation.ratePerSecond * assumedDemand * uncoveredShare;
         const unreported = Math.max(remote.offered / demandWindowMs, assumedRate / 1_000) * reportDelayMs;
-        const safeBound = bound - safetyShare * excess;
         const room = safeBound - used;
         const deviations = safetyDeviations * Math.sqrt(Math.min(unreported, Math.max(0, room)));
         const usable = room - deviations;
