Keep a service's requests off the upstreams that are about to turn cold

If most of a service turned cold while in use, instances that knew of it sent all requests to the upstreams that they still took for warm.

--- a/packages/gateway/src/lib/statements/cold-upstreams.ts
+++ b/packages/gateway/src/lib/statements/cold-upstreams.ts
@@ -44,6 +44,8 @@
 
 interface Phase {
     readonly kind: "warm" | "cold" | "ramp";
+    /** Why it began, for a cold phase. */
+    readonly reason: ColdReason | undefined;
     /** Monotonic time at which it began. */
     readonly sinceMs: number;
     readonly heldUntilMs: number;
@@ -128,6 +130,13 @@
         return kind === "cold" ? this.#options.serviceOf(service)?.warmupRequestsPerSecond : undefined;
     }
 
+    /** Whether an upstream turned cold a moment ago while it was in use; see {@link holdMs}. */
+    isTurningCold(upstream: UpstreamId): boolean {
+        const phase = this.#phases.get(upstream);
+        const nowMs = this.#options.clock.monotonicMs();
+        return phase?.kind === "cold" && phase.reason === "warming up" && nowMs < phase.heldUntilMs;
+    }
+
     /** Whether an upstream counted as cold when it was last considered. */
     isCold(upstream: UpstreamId): boolean {
         return (this.#phases.get(upstream)?.kind ?? "warm") !== "warm";
@@ -175,7 +184,7 @@
             // In an evacuated zone, or before its entry, no instance has sent it anything.
             const wasUsed = previous !== undefined && cause.reason !== "zone evacuation ended";
             const heldUntilMs = Math.max(wasUsed ? nowMs + holdMs : nowMs, this.#startedMs + startHoldMs);
-            return { kind: "cold", sinceMs: nowMs, heldUntilMs, endMs: cause.endMs };
+            return { kind: "cold", reason: cause.reason, sinceMs: nowMs, heldUntilMs, endMs: cause.endMs };
         }
         const next: Phase | undefined = previous?.kind === "cold"
             ? {
@@ -185,7 +194,7 @@
             }
             : previous;
         return next === undefined || next.endMs <= nowMs
-            ? { kind: "warm", sinceMs: nowMs, heldUntilMs: nowMs, endMs: Infinity }
+            ? { kind: "warm", reason: undefined, sinceMs: nowMs, heldUntilMs: nowMs, endMs: Infinity }
             : next;
     }
 
--- a/packages/gateway/src/lib/statements/slow-start.test.ts
+++ b/packages/gateway/src/lib/statements/slow-start.test.ts
@@ -255,6 +255,16 @@
     assert.ok(rejected > 500);
 });
 
+// Guards against the requests for a whole service at those of its upstreams whose turn to cold is not known yet.
+for (const seed of [1, 2, 4]) {
+    test(`a service whose upstreams all turn cold while in use, seed ${seed}`, async () => {
+        const load = { upstreamCount: 36, requestsPerSecond: 36 * 7, isAll: true };
+        const { received } = await play({ seed, instanceCount: 110, ...load, change: "entry", isCut: seed % 2 === 0 });
+        const most = Math.max(...received.map(mostInSecond));
+        assert.ok(most <= maxPerSecond, `${most} in a second`);
+    });
+}
+
 // Guards against a sum over all instances beyond the bound, whatever they know of each other, at the highest load.
 test("a cold upstream never gets more than the bound in any second", async () => {
     await fc.assert(
--- a/packages/gateway/src/lib/statements/willing-upstreams.ts
+++ b/packages/gateway/src/lib/statements/willing-upstreams.ts
@@ -13,6 +13,8 @@
 const reportDelayMs = 400;
 /** Window over which the attempts of this instance are counted. */
 const askedWindowMs = 4_000;
+/** Share of a service's upstreams up to which others take over from those that have just turned cold: one zone of two. */
+const maxTurningShare = 0.5;
 
 /** Options of {@link WillingUpstreams}. */
 export interface WillingUpstreamsOptions {
@@ -20,7 +22,7 @@
     readonly random: Random;
     readonly statements: UpstreamStatements;
     readonly meters: LimitMeters;
-    readonly cold: Pick<ColdUpstreams, "of" | "limitOf">;
+    readonly cold: Pick<ColdUpstreams, "of" | "limitOf" | "isCold" | "isTurningCold">;
     readonly reach: () => FleetSize;
 }
 
@@ -64,7 +66,10 @@
         }
         const asked = this.#askedOf(service);
         asked.add(1);
-        const upstreams = accepting.flatMap(upstream => this.#permitted(upstream) ?? []);
+        const permitted = accepting.flatMap(upstream => this.#permitted(upstream) ?? []);
+        const upstreams = this.#mayUseWarm(accepting)
+            ? permitted
+            : permitted.filter(({ listed: { id } }) => this.#options.cold.isCold(id));
         if (upstreams.every(({ listed }) => statements.limitOf(listed) === undefined)) {
             return upstreams;
         }
@@ -86,6 +91,16 @@
         return stated === undefined || tolerated === undefined ? stated ?? tolerated : Math.min(stated, tolerated);
     }
 
+    /**
+     * Whether a request may go to a warm upstream. If most of a service turns cold at once, the rest probably does too
+     * before this instance hears of it, so it does not get the requests of the others.
+     */
+    #mayUseWarm(upstreams: readonly KnownUpstream[]): boolean {
+        const { cold, random } = this.#options;
+        const turning = upstreams.filter(({ listed }) => cold.isTurningCold(listed.id)).length;
+        return turning <= upstreams.length * maxTurningShare || random() * upstreams.length >= turning;
+    }
+
     /** The upstream as selection sees it; undefined if it is cold and this instance has no permit left. */
     #permitted(upstream: KnownUpstream): KnownUpstream | undefined {
         const { cold, meters, random } = this.#options;
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -71,7 +71,12 @@
 });
 
 /** For tests without cold upstreams. */
-export const noColdUpstreams = { of: () => undefined, limitOf: () => undefined };
+export const noColdUpstreams = {
+    of: () => undefined,
+    limitOf: () => undefined,
+    isCold: () => false,
+    isTurningCold: () => false,
+};
 
 /** An answer in which the upstream states nothing about itself. */
 export const noStatement: UpstreamStatement = {
