--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -3,8 +3,11 @@
 import { splitAddress, TcpPeers } from "@sniperoad/daemon";
 import { FleetLoad } from "./balance/fleet-load.js";
 import type { RemoteLoads } from "./balance/fleet-load.js";
+import { RetryBudget } from "./balance/retry-budget.js";
+import type { RemoteAttempts } from "./balance/retry-budget.js";
 import type { DirectoryResponse } from "./fleet/directory.js";
 import { FleetExchange } from "./fleet/fleet-exchange.js";
+import type { Heartbeat } from "./fleet/heartbeat.js";
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
 import { GrayFailureEstimator } from "./health/gray-failure-estimator.js";
@@ -16,7 +19,6 @@
 import type { FleetSize, RemoteRates } from "./rates/fleet-rate-limiter.js";
 import { CrashTracker } from "./request/crash-tracker.js";
 import type { HeaderCodec } from "./request/ports.js";
-import type { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
 import { CurrentConfig } from "./routing/current-config.js";
 import type { GatewaySettings } from "./settings.js";
 import { ColdUpstreams } from "./statements/cold-upstreams.js";
@@ -30,6 +32,7 @@
 import { InstanceRecords } from "./store/instance-records.js";
 import type { StorePort } from "./store/ports.js";
 import { UpstreamRegistry } from "./store/upstream-registry.js";
+import { EvacuationRegistry } from "./store/zone-evacuations.js";
 
 const bytesPerMegabit = 125_000;
 
@@ -74,9 +77,12 @@
     readonly records: InstanceRecords;
     readonly config: CurrentConfig;
     readonly upstreams: UpstreamRegistry;
+    /** Undefined where zones are not evacuated. */
+    readonly evacuations: EvacuationRegistry | undefined;
     readonly gray: GrayFailureEstimator;
     readonly load: FleetLoad;
     readonly rates: FleetRateLimiter;
+    readonly retryBudget: RetryBudget;
     readonly floor: UpstreamFloor;
     readonly outcomes: SharedOutcomes;
     readonly crashes: CrashTracker;
@@ -98,8 +104,6 @@
     readonly flags: GatewayFlags;
     readonly store: StorePort;
     readonly onConfig: () => void;
-    /** Monotonic time at which this instance saw the last evacuation of a zone end. Default: there was none. */
-    readonly zoneEvacuationEndedMs?: (zone: ZoneId) => number | undefined;
 }
 
 /**
@@ -116,6 +120,7 @@
     const fleetSize = (): FleetSize => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
     const config = new CurrentConfig(sha256);
     const upstreams = new UpstreamRegistry(clock, upstream => resetUpstream(upstream, evidence, log));
+    const evacuations = createEvacuations(options);
     const evidence: Evidence = createEvidence(options, upstreams, {
         ownKey: instanceKey(self.id),
         announce,
@@ -126,8 +131,7 @@
         shareStatements: heard => exchange.sendToAll({ kind: "statements", statements: heard }),
         shareOutages: outages => exchange.sendToAll({ kind: "outages", outages }),
     });
-    const { outcomes, crashes, rates, load, statements } = evidence;
-    const endsAtMs = (): number | undefined => flags.endsAtMs;
+    const { outcomes, crashes, rates, retryBudget, load, statements } = evidence;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const common = { self, clock, random, sha256, log, roster };
     const state: FleetState = new FleetState({
@@ -136,10 +140,8 @@
         peers,
         config,
         upstreams,
-        announce: () => {
-            announce();
-            exchange.announceState();
-        },
+        evacuations,
+        announce: () => announceState(exchange),
         sendToAll: message => exchange.sendToAll(message),
         digestIntervalMs: () => exchange.digestIntervalMs(),
         transferBytesPerSecond: () => settings().linkMbps * bytesPerMegabit * settings().transferLinkShare,
@@ -154,7 +156,7 @@
             isReady: isReady(),
             isLeaving: flags.isLeaving,
             ...state.collectionStates(),
-            ...rates.take(),
+            ...joinUsage(retryBudget.take(), rates.take()),
             inFlight: load.report(),
             ...outcomes.take(),
             crashes: crashes.report(),
@@ -180,14 +182,26 @@
         records,
         config,
         upstreams,
+        evacuations,
         ...evidence,
-        ...createSlowStart(options, setup, { roster, config, upstreams, outages: evidence.outages }),
+        ...createSlowStart(options, setup, { roster, config, upstreams, evacuations, outages: evidence.outages }),
         isReady,
-        endsAtMs,
+        endsAtMs: () => flags.endsAtMs,
         fleetSize,
     };
 };
 
+/** Notifies the other instances immediately of a new state, also as an aggregator. */
+const announceState = (exchange: FleetExchange): void => {
+    exchange.sendHeartbeatSoon();
+    exchange.announceState();
+};
+
+const createEvacuations = ({ clock, log, settings }: GatewayOptions): EvacuationRegistry | undefined => {
+    const boundMs = settings().zoneEvacuationMs;
+    return boundMs === undefined ? undefined : new EvacuationRegistry({ clock, log, boundMs });
+};
+
 const openSockets = async (
     { clock, log }: GatewayOptions,
     self: GatewayInstance,
@@ -217,8 +231,11 @@
 
 const createSlowStart = (
     { clock, log, settings }: GatewayOptions,
-    { self, zoneEvacuationEndedMs = () => undefined }: FleetSetup,
-    { roster, config, upstreams, outages }: Pick<FleetComponents, "roster" | "config" | "upstreams" | "outages">,
+    { self }: FleetSetup,
+    { roster, config, upstreams, outages, evacuations }: Pick<
+        FleetComponents,
+        "roster" | "config" | "upstreams" | "outages" | "evacuations"
+    >,
 ): Pick<FleetComponents, "permits" | "cold"> => {
     const permits = new WarmupPermits({
         self,
@@ -234,23 +251,31 @@
         serviceOf: service => config.service(service),
         outages,
         permits,
-        zoneEvacuationEndedMs,
+        zoneEvacuationEndedMs: zone => evacuations?.endedMs(zone),
         bound: () => ({ overage: settings().warmupOverage, slack: settings().warmupSlack }),
     });
     return { permits, cold };
 };
 
-const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates => ({
+/** What a heartbeat reports of rates and retry budgets. */
+type ReportedUsage = Pick<Heartbeat, "usage" | "hasScarceUsage">;
+
+const joinUsage = (first: ReportedUsage, second: ReportedUsage): ReportedUsage => ({
+    usage: [...first.usage, ...second.usage],
+    hasScarceUsage: first.hasScarceUsage || second.hasScarceUsage,
+});
+
+const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates & RemoteAttempts => ({
     usage: key => exchange().view.usage(key),
     reportDelayMs: () => exchange().reportDelayMs(),
-    uncoveredShare: () => exchange().view.uncoveredShare(),
+    uncoveredShare: (windowMs?: number) => exchange().view.uncoveredShare(windowMs),
     onScarce: () => exchange().sendUsageSoon(),
 });
 
 /** State about upstreams, loads and rates, derived from the requests of all instances. */
 type Evidence = Pick<
     FleetComponents,
-    "gray" | "load" | "rates" | "floor" | "outcomes" | "crashes" | "statements" | "meters" | "outages"
+    "gray" | "load" | "rates" | "retryBudget" | "floor" | "outcomes" | "crashes" | "statements" | "meters" | "outages"
 >;
 
 const createEvidence = (
@@ -277,6 +302,13 @@
         outages: new UpstreamOutages({ clock, listedOf, share: shareOutages }),
         load: new FleetLoad(onLoad, remoteLoads),
         rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
+        retryBudget: new RetryBudget({
+            clock,
+            random,
+            limits: () => retryOptions(settings()),
+            remote: remoteRates,
+            reach: fleetSize,
+        }),
         outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce, onRemote }),
         crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
     };
@@ -290,7 +322,7 @@
     /** Called when the requests in flight change. */
     readonly onLoad: () => void;
     readonly remoteLoads: RemoteLoads;
-    readonly remoteRates: RemoteRates;
+    readonly remoteRates: RemoteRates & RemoteAttempts;
     readonly fleetSize: () => FleetSize;
     /** Sends statements of upstreams to all other instances. */
     readonly shareStatements: (statements: readonly SharedStatement[]) => void;
@@ -304,32 +336,11 @@
     gray.reset(upstream);
 };
 
-/** Removes the state of upstreams that are no longer listed. */
-export const pruneState = (
-    { upstreams, gray, floor, statements, meters, outages, permits, cold }: FleetComponents,
-    connections: UpstreamConnectionPool,
-): void => {
-    const isListed = (upstream: Parameters<UpstreamRegistry["get"]>[0]): boolean =>
-        upstreams.get(upstream) !== undefined;
-    gray.retain(isListed);
-    floor.retain(isListed);
-    statements.retain(isListed);
-    outages.retain(isListed);
-    permits.retain(isListed);
-    permits.review();
-    cold.retain(upstream => upstreams.get(upstream)?.listed.state === "live");
-    cold.review(upstreams.live());
-    meters.retainPermits(upstream => cold.isCold(upstream));
-    meters.retain(upstream => {
-        const known = upstreams.get(upstream);
-        return known !== undefined && statements.limitOf(known.listed) !== undefined;
-    });
-    connections.retain(upstream => {
-        const known = upstreams.get(upstream);
-        return known !== undefined && !statements.isLeaving(known.listed);
-    });
-    statements.renew();
-};
+const retryOptions = ({ retryShare, retryBurst, retryWindowSeconds }: GatewaySettings) => ({
+    share: retryShare,
+    burst: retryBurst,
+    windowMs: retryWindowSeconds * 1_000,
+});
 
 const rateOptions = ({ rateWindowSeconds, rateOverage, rateSlack }: GatewaySettings) => ({
     windowMs: rateWindowSeconds * 1_000,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -3,13 +3,14 @@
 import type { InstanceId, Random } from "@sniperoad/core";
 import { errorMessage } from "./errors.js";
 import { Directory } from "./fleet/directory.js";
-import { createFleetComponents, pruneState } from "./gateway-components.js";
+import { createFleetComponents } from "./gateway-components.js";
 import type { FleetComponents, GatewayFlags, GatewayOptions } from "./gateway-components.js";
 import { openAuxiliaryServer } from "./http/auxiliary-server.js";
 import type { AuxiliaryServer } from "./http/auxiliary-server.js";
 import { CallerServer, defaultCallerLimits } from "./http/caller-server.js";
 import type { GatewayInstance } from "./model.js";
 import { GatewayMetrics } from "./observe/metrics.js";
+import { pruneState } from "./prune-state.js";
 import { createRequestComponents } from "./request-components.js";
 import { bufferedBytesFor, UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
 import type { GatewaySettings } from "./settings.js";
@@ -57,6 +58,7 @@
         configVersion: () => fleet.config.version,
         configBehindSeconds: () => fleet.state.behindMs("config") / 1_000,
         upstreams: () => fleet.upstreams.size,
+        evacuatedZones: () => fleet.evacuations?.size ?? 0,
         coldUpstreams: () => fleet.cold.count,
         instancesHeard: () => fleet.roster.live().length,
         isReady: () => fleet.isReady(),
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -38,6 +38,8 @@
     retryBurst: z.number().min(0),
     /** Window over which additional attempts are counted; a change applies only to services first seen afterwards. */
     retryWindowSeconds: positive.default(10),
+    /** Hedged requests as a share of a service's requests of the last 10 s; default: only the retry budget limits them. */
+    hedgeShare: z.number().min(0).optional(),
     /** Window over which the rate of an organisation is counted. */
     rateWindowSeconds: positive,
     /** Fraction by which an organisation's count in a window may exceed the limit of its rate and burst. */
@@ -56,6 +58,8 @@
     processorSpeed: positive.default(1),
     /** Share of a service's upstreams that must receive requests even while some of its requests fail. */
     floorShare: z.number().min(0).max(1),
+    /** Time within which the evacuation of a zone must be in force; without it, evacuations are not read. */
+    zoneEvacuationMs: positive.optional(),
     /** Multiple of the rate that a cold upstream tolerates by which its requests of any second are bounded. */
     warmupOverage: positive.default(1),
     /** Number of requests by which the requests of a second may exceed this bound in addition. */
--- a/packages/gateway/src/lib/template.test.ts
+++ b/packages/gateway/src/lib/template.test.ts
@@ -59,9 +59,11 @@
 test("optional fields take effect where the platform has them", () => {
     const without = parseGatewaySettings(render(), "settings.jsonc");
     assert.equal([without.warmupOverage, without.warmupSlack], [1, 0]);
-    const added = { "bounds.warmup_overage": 1.5, "bounds.warmup_slack": 8 };
+    assert.is(without.zoneEvacuationMs, undefined);
+    const added = { "bounds.warmup_overage": 1.5, "bounds.warmup_slack": 8, "bounds.evacuate_ms": 5_000 };
     const settings = parseGatewaySettings(render(added), "settings.jsonc");
     assert.equal([settings.warmupOverage, settings.warmupSlack], [1.5, 8]);
+    assert.is(settings.zoneEvacuationMs, 5_000);
 });
 
 test.run();
