Order the store's states by epoch and revision

A store that is restored from a copy goes back to earlier revisions and issues them again. Instances then took its lists for old ones and ignored them, watched from revisions that meant other changes, and would have used upstreams again that had left.

Revisions of the store port are ordinals of the epoch (Store-Era) and the revision. On a higher epoch readers list again, answers of a former one are errors, and the epoch spreads by the ordinals in heartbeats and digests. Entries that the copy lacks are kept for 2 s, evacuations for their bound. Upstreams that had left, were removed or replaced stay so until their entry is written again (restored-entries.ts). Records of instances are written again within 3 s. An entry that is listed again at the same revision no longer begins its warm-up anew.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./lib/settings-file.js";
 export * from "./lib/settings.js";
 export * from "./lib/store/ports.js";
+export * from "./lib/store/store-epoch.js";
--- a/packages/gateway/src/lib/fleet/directory.test.ts
+++ b/packages/gateway/src/lib/fleet/directory.test.ts
@@ -66,6 +66,15 @@
     assert.is(directory.answer(zoneA).addresses.length, 7);
 });
 
+// Guards against callers that are sent to instances that ended, after most of the fleet has ended at once.
+test("the directory lists no instance that was not heard for 5 seconds", async () => {
+    const { clock, roster, directory } = directoryOf();
+    [2, 4, 6, 8, 10].forEach(number => hear(roster, number));
+    await clock.advance(5_001);
+    hear(roster, 12);
+    assert.equal([...directory.answer(zoneA).addresses].sort(), ["10.0.0.0:1", "10.0.0.12:1"]);
+});
+
 test("the directory lists a sample of a large fleet", () => {
     const { roster, directory } = directoryOf({ isReady: false });
     for (let number = 1; number < 200; number++) {
--- a/packages/gateway/src/lib/fleet/directory.ts
+++ b/packages/gateway/src/lib/fleet/directory.ts
@@ -11,6 +11,12 @@
  */
 const minZoneInstances = 4;
 
+/**
+ * Time since an instance was last heard after which it is not named, whatever else is unreachable. An instance that ended
+ * must not be named for more than 6 s; a second of it is for heartbeats that were on their way.
+ */
+const maxUnheardMs = 5_000;
+
 /** Instances that a caller should use. */
 export interface DirectoryResponse {
     /** `host:port` of the caller endpoint of each instance. */
@@ -56,13 +62,16 @@
     }
 
     #usable(): readonly Pick<GatewayInstance, "zone" | "callerAddress">[] {
-        const { self, roster, isReady } = this.#options;
+        const { self, roster, clock, isReady } = this.#options;
         const isServing = ({ isReady, isLeaving }: Member): boolean => isReady && !isLeaving;
+        const heardSinceMs = clock.monotonicMs() - maxUnheardMs;
         const known = roster.known().filter(isServing);
         const live = roster.live().filter(isServing);
-        // An instance that hears of fewer than half of the others is probably partitioned; the others
-        // are probably running, so they stay listed.
-        const members = live.length * 2 < known.length ? known : live;
+        // An instance that hears of fewer than half of the others is probably partitioned; the others are probably
+        // running, so they stay listed for a while.
+        const members = live.length * 2 < known.length
+            ? known.filter(({ heardMs }) => heardMs >= heardSinceMs)
+            : live;
         const others = members.map(({ info }) => info);
         return isReady() ? [self, ...others] : others;
     }
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -193,7 +193,7 @@
 };
 
 const createRecords = (
-    { clock, log }: GatewayOptions,
+    { clock, log, random }: GatewayOptions,
     { self, store }: FleetSetup,
     { roster, exchange, state }: Pick<FleetComponents, "roster" | "exchange" | "state">,
 ): InstanceRecords =>
@@ -201,7 +201,9 @@
         self,
         clock,
         log,
+        random,
         store,
+        epoch: () => state.epoch,
         isReader: () => state.isReader,
         isIsolated: () => roster.live().length === 0,
         isLive: address => roster.isLive(address),
--- a/packages/gateway/src/lib/model.ts
+++ b/packages/gateway/src/lib/model.ts
@@ -78,6 +78,8 @@
     readonly warmupLeftMs: number;
     /** Start time of its process; a different value with the same id means a new process. */
     readonly startedMs: number;
+    /** Revision of its entry in the store, within the store's epoch; undefined: not known. */
+    readonly entryRevision?: number | undefined;
 }
 
 /** A zone that the operator empties: its upstreams must not receive requests. */
--- a/packages/gateway/src/lib/store/collection-reader.test.ts
+++ b/packages/gateway/src/lib/store/collection-reader.test.ts
@@ -21,6 +21,7 @@
         clock,
         log: { event: () => {} },
         listener: { onSnapshot: () => {}, onChanges: () => {} },
+        recordEpoch: () => true,
         onFailingChange: () => {},
     });
     reader.start();
--- a/packages/gateway/src/lib/store/collection-reader.ts
+++ b/packages/gateway/src/lib/store/collection-reader.ts
@@ -1,8 +1,9 @@
 /** Keeps a collection current by a list and subsequent watches. */
 import type { Clock, LogPort, Timer } from "@sniperoad/core";
-import { errorMessage, HistoryGoneError } from "../errors.js";
+import { errorMessage, HistoryGoneError, StoreUnavailableError } from "../errors.js";
 import type { ReaderState } from "../fleet/heartbeat.js";
 import type { CollectionName, Collections, StoreChanges, StorePort, StoreSnapshot } from "./ports.js";
+import { epochOf } from "./store-epoch.js";
 
 /** Timeout of a watch, unless stated otherwise. Each response confirms the revision, so an outage is detected soon after this time. */
 export const watchWaitMs = 700;
@@ -32,6 +33,8 @@
     readonly listener: CollectionListener<Collections[Name]>;
     /** Timeout of a watch; {@link watchWaitMs} if undefined. */
     readonly watchWaitMs?: number | undefined;
+    /** Records the store epoch of an answer; returns false if a higher one is known. */
+    readonly recordEpoch: (epoch: number) => boolean;
     /** Called when the reader begins or ceases to fail, which others must know soon. */
     readonly onFailingChange: () => void;
 }
@@ -124,6 +127,7 @@
         if (this.#cursor === undefined) {
             const snapshot = await store.list(collection, { onProgress });
             if (generation === this.#generation) {
+                this.#expectCurrentEpoch(snapshot.revision);
                 this.#cursor = snapshot.revision;
                 listener.onSnapshot(snapshot);
             }
@@ -131,12 +135,20 @@
         }
         const changes = await store.watch(collection, this.#cursor, waitMs, onProgress);
         if (generation === this.#generation) {
+            this.#expectCurrentEpoch(changes.revision);
             this.#cursor = changes.revision;
             listener.onChanges(changes);
         }
         return changes.changes.length > 0;
     }
 
+    /** @throws StoreUnavailableError if the answer is from before a restore of the store */
+    #expectCurrentEpoch(revision: number): void {
+        if (!this.#options.recordEpoch(epochOf(revision))) {
+            throw new StoreUnavailableError("the store answered from a former epoch; try again");
+        }
+    }
+
     #recordSuccess(): void {
         if (this.#failingSinceMs !== undefined) {
             this.#options.log.event("store-regained", {
--- a/packages/gateway/src/lib/store/fleet-state.ts
+++ b/packages/gateway/src/lib/store/fleet-state.ts
@@ -18,6 +18,7 @@
 import type { SharedState, StateHolder } from "./state-exchange.js";
 import { StateLag } from "./state-lag.js";
 import type { SharedCollection } from "./state-messages.js";
+import { epochOf } from "./store-epoch.js";
 import { TransferPacer } from "./transfer-pacer.js";
 import type { UpstreamRegistry } from "./upstream-registry.js";
 import type { EvacuationRegistry } from "./zone-evacuations.js";
@@ -85,6 +86,8 @@
     readonly #startedMs: number;
     /** Monotonic time at which the store last confirmed the state of this instance to any reader. */
     readonly #confirmedMs = new Map<SharedCollection, number>();
+    /** Highest epoch of the store's answers to this instance. */
+    #answeredEpoch = 0;
     #isStopped = false;
 
     constructor(options: FleetStateOptions) {
@@ -120,6 +123,16 @@
         return [...this.#kept.values()].every(({ held }) => held.revision > 0);
     }
 
+    /** Highest epoch of the store that this instance, or another one, is known to have read from. */
+    get epoch(): number {
+        const { roster } = this.#options;
+        // The configuration is ordered by its own version.
+        const ordinals = (["upstreams", "evacuations"] as const).map(collection =>
+            Math.max(roster.newestRevision(collection), this.#heldRevision(collection))
+        );
+        return Math.max(this.#answeredEpoch, ...ordinals.map(epochOf));
+    }
+
     /** Reconsiders whether to read from the store; call it periodically. */
     review(): void {
         if (this.#isStopped || this.#isListening()) {
@@ -198,6 +211,7 @@
             log,
             listener: held,
             watchWaitMs,
+            recordEpoch: epoch => this.#recordEpoch(epoch),
             onFailingChange: announce,
         });
         const ownKey = instanceKey(self.id);
@@ -205,6 +219,15 @@
         this.#kept.set(collection, { held, reader, elected });
     }
 
+    #recordEpoch(epoch: number): boolean {
+        const former = this.epoch;
+        if (epoch > former) {
+            this.#options.log.event("store-epoch", { epoch, former });
+        }
+        this.#answeredEpoch = Math.max(this.#answeredEpoch, epoch);
+        return epoch >= former;
+    }
+
     #contextOf(collection: SharedCollection): HoldingContext {
         return {
             log: this.#options.log,
--- a/packages/gateway/src/lib/store/instance-records.ts
+++ b/packages/gateway/src/lib/store/instance-records.ts
@@ -1,6 +1,6 @@
 /** Records in the store by which instances discover each other if no seed responds. */
 import { instanceName } from "@sniperoad/core";
-import type { Clock, LogPort, Timer } from "@sniperoad/core";
+import type { Clock, LogPort, Random, Timer } from "@sniperoad/core";
 import { errorMessage } from "../errors.js";
 import type { GatewayInstance } from "../model.js";
 import type { StorePort } from "./ports.js";
@@ -10,12 +10,18 @@
 /** Interval between reads while no other instance is live, and delay after a failed call. */
 const isolatedReadIntervalMs = 1_000;
 
+/** Time within which records that a restore of the store may have lost are written again, spread over the instances. */
+const rewriteSpreadMs = 3_000;
+
 /** Options of {@link InstanceRecords}. */
 export interface InstanceRecordsOptions {
     readonly self: GatewayInstance;
     readonly clock: Clock;
     readonly log: LogPort;
+    readonly random: Random;
     readonly store: StorePort;
+    /** Highest known epoch of the store. */
+    readonly epoch: () => number;
     /** Whether this instance reads from the store. Only readers register, so a fleet has few records. */
     readonly isReader: () => boolean;
     /** Whether no other instance is live. */
@@ -26,7 +32,7 @@
 }
 
 /**
- * Registers this instance once it is a reader, contacts the instances of other records, and removes the records of
+ * Registers this instance once it is a reader, and again after a restore of the store, contacts the instances of other records, and removes the records of
  * failed instances.
  *
  * @example
@@ -35,7 +41,10 @@
 export class InstanceRecords {
     readonly #options: InstanceRecordsOptions;
     readonly #name: string;
-    #isRegistered = false;
+    /** Epoch of the store in which the record of this instance was written; undefined if it is not registered. */
+    #registeredEpoch: number | undefined;
+    /** Monotonic time at which the record is written again. */
+    #rewriteAtMs: number | undefined;
     /** Whether a call is in progress or its failure was less than {@link isolatedReadIntervalMs} ago. */
     #isBusy = false;
     #nextReadMs: number;
@@ -55,7 +64,7 @@
         if (this.#isBusy) {
             return;
         }
-        if (isReader() && !this.#isRegistered) {
+        if (this.#registeredEpoch === undefined ? isReader() : this.#isRewriteDue(this.#registeredEpoch)) {
             this.#runInBackground(() => this.#register());
         }
         else if ((isReader() || isIsolated()) && clock.monotonicMs() >= this.#nextReadMs) {
@@ -67,12 +76,21 @@
     /** Removes the record of this instance. */
     async leave(): Promise<void> {
         this.#timer?.cancel();
-        if (this.#isRegistered) {
-            this.#isRegistered = false;
+        if (this.#registeredEpoch !== undefined) {
+            this.#registeredEpoch = undefined;
             await this.#options.store.removeInstance(this.#name);
         }
     }
 
+    #isRewriteDue(registeredEpoch: number): boolean {
+        const { clock, random, epoch } = this.#options;
+        if (registeredEpoch >= epoch()) {
+            return false;
+        }
+        this.#rewriteAtMs ??= clock.monotonicMs() + random() * rewriteSpreadMs;
+        return clock.monotonicMs() >= this.#rewriteAtMs;
+    }
+
     #runInBackground(task: () => Promise<void>): void {
         const { log, clock } = this.#options;
         this.#isBusy = true;
@@ -87,8 +105,8 @@
 
     async #register(): Promise<void> {
         const { store, self } = this.#options;
-        await store.putInstance({ name: this.#name, peerAddress: self.peerAddress });
-        this.#isRegistered = true;
+        this.#rewriteAtMs = undefined;
+        this.#registeredEpoch = await store.putInstance({ name: this.#name, peerAddress: self.peerAddress });
     }
 
     async #readRecords(): Promise<void> {
--- a/packages/gateway/src/lib/store/ports.ts
+++ b/packages/gateway/src/lib/store/ports.ts
@@ -23,7 +23,7 @@
     readonly value: T | undefined;
 }
 
-/** A whole collection at a store revision. */
+/** A whole collection at a store revision. Revisions of this port are ordinals, see `ordinalOf`. */
 export interface StoreSnapshot<T> {
     readonly revision: number;
     readonly items: ReadonlyMap<string, T>;
@@ -68,8 +68,8 @@
         waitMs: number,
         onProgress?: () => void,
     ): Promise<StoreChanges<Collections[Name]>>;
-    /** Writes or replaces the record of an instance. */
-    putInstance(record: InstanceRecord): Promise<void>;
+    /** Writes or replaces the record of an instance, and returns the epoch of the store that has it. */
+    putInstance(record: InstanceRecord): Promise<number>;
     /** Removes the record of an instance, if it exists. */
     removeInstance(name: string): Promise<void>;
 }
--- a/packages/gateway/src/lib/store/shared-state.ts
+++ b/packages/gateway/src/lib/store/shared-state.ts
@@ -50,6 +50,7 @@
     slots: z.number().int().min(1),
     warmupLeftMs: nonNegative,
     startedMs: z.number(),
+    entryRevision: z.number().int().min(0).optional(),
 });
 
 /**
--- a/packages/gateway/src/lib/store/upstream-registry.ts
+++ b/packages/gateway/src/lib/store/upstream-registry.ts
@@ -5,6 +5,9 @@
 import type { ListedUpstream } from "../model.js";
 import { nameKey } from "../name-key.js";
 import type { StoreChange, StoreSnapshot } from "./ports.js";
+import { reconcileRestored, reconcileUnchanged } from "./restored-entries.js";
+import type { FormerEntry } from "./restored-entries.js";
+import { epochOf } from "./store-epoch.js";
 
 /** Changes of the list from one revision to another, as instances forward them. */
 export interface UpstreamDelta {
@@ -20,6 +23,11 @@
     readonly warmupEndMs: number;
 }
 
+interface HeldUpstream extends KnownUpstream {
+    /** Revision of the entry in which the process was last live; undefined: not known. */
+    readonly liveRevision: number | undefined;
+}
+
 /** Options of {@link UpstreamRegistry.replace}. */
 export interface ReplaceOptions {
     /** Whether the list follows an outage of the store, in which entries of live upstreams may have expired. */
@@ -38,6 +46,9 @@
  */
 export const expiredEntryGraceMs = 2_000;
 
+/** How long removed entries are remembered; copies from which the store is restored are some seconds old. */
+const removedRetentionMs = 60_000;
+
 /**
  * The list of upstreams with its revision.
  *
@@ -49,7 +60,9 @@
 export class UpstreamRegistry {
     readonly #clock: Clock;
     readonly #onRestart: (upstream: UpstreamId) => void;
-    readonly #byId = new Map<string, KnownUpstream>();
+    readonly #byId = new Map<string, HeldUpstream>();
+    /** Entries that were removed, by name, since a restored copy may contain them. */
+    readonly #removed = new Map<string, FormerEntry & { readonly removedMs: number; }>();
     /** End of the grace period of each entry that expired in an outage, by name. */
     readonly #graceEndMs = new Map<string, number>();
     #byService = new Map<ServiceId, KnownUpstream[]>();
@@ -93,13 +106,15 @@
 
     /**
      * Replaces the list if the snapshot is newer and differs, and returns whether it did. Entries that expired in an
-     * outage are kept for {@link expiredEntryGraceMs}.
+     * outage, or that a restored store lacks, are kept for {@link expiredEntryGraceMs}. The revision of a higher epoch is
+     * adopted in any case, so that other instances learn of the epoch.
      */
     replace(snapshot: StoreSnapshot<ListedUpstream>, options: ReplaceOptions): boolean {
         if (snapshot.revision <= this.#revision) {
             return false;
         }
-        if (this.#revision > 0 && this.#isSame(snapshot.items)) {
+        const isRestored = this.#revision > 0 && epochOf(snapshot.revision) > epochOf(this.#revision);
+        if (this.#revision > 0 && !isRestored && this.#isSame(snapshot.items)) {
             this.#revision = options.isFromPeer ? snapshot.revision : this.#revision;
             return false;
         }
@@ -108,14 +123,21 @@
             if (snapshot.items.has(name)) {
                 continue;
             }
-            if (options.isAfterOutage && known.listed.state === "live") {
+            if ((options.isAfterOutage || isRestored) && known.listed.state === "live") {
                 this.#graceEndMs.set(name, nowMs + expiredEntryGraceMs);
             }
             else {
                 this.#remove(name);
             }
         }
-        snapshot.items.forEach((listed, name) => this.#put(name, listed));
+        snapshot.items.forEach((listed, name) =>
+            this.#put(
+                name,
+                isRestored
+                    ? reconcileRestored(listed, this.#formerEntry(name))
+                    : reconcileUnchanged(listed, this.#byId.get(name)?.listed),
+            )
+        );
         this.#revision = snapshot.revision;
         this.#rebuildIndex();
         return true;
@@ -134,7 +156,7 @@
                 this.#remove(name);
             }
             else {
-                this.#put(name, value);
+                this.#put(name, reconcileUnchanged(value, this.#byId.get(name)?.listed));
             }
         }
         this.#revision = delta.toRevision;
@@ -150,16 +172,47 @@
 
     #put(name: string, listed: ListedUpstream): void {
         this.#graceEndMs.delete(name);
+        this.#removed.delete(name);
         const previous = this.#byId.get(name);
-        if (previous !== undefined && previous.listed.startedMs !== listed.startedMs) {
+        const isSameProcess = previous?.listed.startedMs === listed.startedMs;
+        if (previous !== undefined && !isSameProcess) {
             this.#onRestart(listed.id);
         }
-        this.#byId.set(name, { listed, warmupEndMs: this.#clock.monotonicMs() + listed.warmupLeftMs });
+        const isSameEntry = isSameProcess
+            && listed.entryRevision !== undefined
+            && previous.listed.entryRevision === listed.entryRevision;
+        this.#byId.set(name, {
+            listed,
+            // A list contains the report of a former time again.
+            warmupEndMs: isSameEntry ? previous.warmupEndMs : this.#clock.monotonicMs() + listed.warmupLeftMs,
+            liveRevision: listed.state === "live"
+                ? listed.entryRevision
+                : isSameProcess
+                ? previous.liveRevision
+                : undefined,
+        });
     }
 
     #remove(name: string): void {
+        const nowMs = this.#clock.monotonicMs();
+        const held = this.#byId.get(name);
         this.#byId.delete(name);
         this.#graceEndMs.delete(name);
+        if (held !== undefined) {
+            this.#removed.set(name, { ...held, isRemoved: true, removedMs: nowMs });
+        }
+        for (const [other, { removedMs }] of this.#removed) {
+            if (nowMs - removedMs <= removedRetentionMs) {
+                // Entries are in the order of their removal.
+                break;
+            }
+            this.#removed.delete(other);
+        }
+    }
+
+    #formerEntry(name: string): FormerEntry | undefined {
+        const held = this.#byId.get(name);
+        return held === undefined ? this.#removed.get(name) : { ...held, isRemoved: false };
     }
 
     /** Removes entries whose grace period has ended. */
--- a/packages/gateway/src/lib/store/zone-evacuations.ts
+++ b/packages/gateway/src/lib/store/zone-evacuations.ts
@@ -1,7 +1,8 @@
 /** The zones whose upstreams get no requests, as of a store revision. */
-import type { Clock, LogPort, ZoneId } from "@sniperoad/core";
+import type { Clock, LogPort, Timer, ZoneId } from "@sniperoad/core";
 import type { Evacuation } from "../model.js";
 import type { StoreChange, StoreSnapshot } from "./ports.js";
+import { epochOf } from "./store-epoch.js";
 
 /** What other components may ask about evacuations; the load that it addresses is that of a zone which is emptied. */
 export interface ZoneEvacuations {
@@ -41,6 +42,8 @@
     readonly #options: EvacuationRegistryOptions;
     #zones: ReadonlySet<ZoneId> = new Set();
     readonly #endedMs = new Map<ZoneId, number>();
+    /** Zones that a restored store lacks; they stay evacuated for the bound, in which the operator names them again. */
+    readonly #unconfirmed = new Map<ZoneId, Timer>();
     #revision = 0;
 
     constructor(options: EvacuationRegistryOptions) {
@@ -69,24 +72,30 @@
         return this.#endedMs.get(zone);
     }
 
+    /** All evacuations in the store, without those that a restored store lacks. */
     all(): readonly Evacuation[] {
-        return [...this.#zones].sort().map(zone => ({ zone }));
+        return [...this.#zones].filter(zone => !this.#unconfirmed.has(zone)).sort().map(zone => ({ zone }));
     }
 
     /**
      * Replaces the list if the snapshot is newer, and returns whether it did. The revision of an equal list from the store
-     * is not adopted, since all other instances would then fetch the list.
+     * is not adopted, since all other instances would then fetch the list, unless its epoch is higher.
      */
     replace({ revision, items }: StoreSnapshot<Evacuation>, origin: EvacuationSource): boolean {
         if (revision <= this.#revision) {
             return false;
         }
         const zones = new Set([...items.values()].map(({ zone }) => zone));
+        const isRestored = this.#revision > 0 && epochOf(revision) > epochOf(this.#revision);
         const isSame = zones.size === this.#zones.size && [...zones].every(zone => this.#zones.has(zone));
-        if (isSame && this.#revision > 0 && origin.source === "store") {
+        if (isSame && this.#revision > 0 && !isRestored && origin.source === "store") {
             return false;
         }
-        this.#set(zones, revision, origin);
+        zones.forEach(zone => this.#confirm(zone));
+        if (isRestored) {
+            [...this.#zones].filter(zone => !zones.has(zone)).forEach(zone => this.#retain(zone));
+        }
+        this.#set(new Set([...zones, ...this.#unconfirmed.keys()]), revision, origin);
         return true;
     }
 
@@ -97,6 +106,7 @@
         }
         const zones = new Set(this.#zones);
         for (const { name, value } of changes) {
+            this.#confirm(name as ZoneId);
             if (value === undefined) {
                 zones.delete(name as ZoneId);
             }
@@ -108,6 +118,24 @@
         return true;
     }
 
+    /** Keeps a zone evacuated for the bound, unless its object is written or removed before. */
+    #retain(zone: ZoneId): void {
+        const { clock, boundMs } = this.#options;
+        this.#confirm(zone);
+        const timer = clock.after(boundMs, () => {
+            this.#unconfirmed.delete(zone);
+            const zones = new Set([...this.#zones].filter(other => other !== zone));
+            this.#set(zones, this.#revision, { source: "store", behindMs: 0 });
+        });
+        this.#unconfirmed.set(zone, timer);
+    }
+
+    /** Records that the store names a zone again, or that its removal is known. */
+    #confirm(zone: ZoneId): void {
+        this.#unconfirmed.get(zone)?.cancel();
+        this.#unconfirmed.delete(zone);
+    }
+
     #set(zones: ReadonlySet<ZoneId>, revision: number, { source, behindMs }: EvacuationSource): void {
         const { clock, log } = this.#options;
         const previous = this.#zones;
--- a/packages/gateway/src/lib/testing/config-days.ts
+++ b/packages/gateway/src/lib/testing/config-days.ts
@@ -2,7 +2,9 @@
 import type { Random } from "@sniperoad/core";
 import { seededRandom } from "@sniperoad/core/testing";
 import type { SharedCollection } from "../store/state-messages.js";
-import { testConfig, testUpstream } from "./fixtures.js";
+import { DayWrites } from "./day-writes.js";
+import { between, restoreKinds } from "./random-days.js";
+import type { ConfigDay, ConfigFault } from "./random-days.js";
 import { TestFleet } from "./test-fleet.js";
 import type { TestInstance } from "./test-fleet.js";
 
@@ -17,62 +19,11 @@
 const warmUpMs = 4_000;
 const firstVersion = 3;
 
-/** A fault of a {@link ConfigDay}. */
-export interface ConfigFault {
-    readonly kind: FaultKind;
-    readonly atMs: number;
-    readonly forMs: number;
-    /** Share of the instances, or of the datagrams for `loss`. */
-    readonly share: number;
-    /** Whether it hits instances that read from the store before the others. */
-    readonly isAimedAtReaders: boolean;
-}
-
-export type FaultKind =
-    /** Instances get no answer from the store, but reach each other. */
-    | "cut-from-store"
-    /** The store turns instances away at once. */
-    | "turned-away"
-    /** Instances reach neither the store nor each other. */
-    | "cut-from-all"
-    /** Processes end and start again. */
-    | "kill"
-    /** Connections that were used become silent; new ones work. */
-    | "silent-connections"
-    /** Datagrams are lost. */
-    | "loss"
-    /** The store is down. */
-    | "store-down"
-    /** Watches hear nothing for a second, then the history is gone. */
-    | "compaction";
-
-const faultKinds: readonly FaultKind[] = [
-    "cut-from-store",
-    "turned-away",
-    "cut-from-all",
-    "kill",
-    "silent-connections",
-    "loss",
-    "store-down",
-    "compaction",
-];
-
-/**
- * A day: changes of the configuration, each with one of an upstream, and faults beside them. Times are from the end of the
- * warm-up.
- */
-export interface ConfigDay {
-    readonly seed: number;
-    readonly instances: number;
-    readonly zoneCount: number;
-    readonly durationMs: number;
-    readonly changeAtMs: readonly number[];
-    readonly faults: readonly ConfigFault[];
-}
-
 /** An instance at which a change was late. */
 export interface LateChange {
     readonly collection: SharedCollection;
+    /** What the instance held before and does not hold any more; undefined if a change was late. */
+    readonly loss?: string;
     readonly instance: string;
     readonly atMs: number;
     readonly heldVersion: number;
@@ -81,37 +32,6 @@
     readonly ageMs: number;
 }
 
-interface Change {
-    readonly version: number;
-    readonly ackedMs: number;
-}
-
-const between = (random: Random, from: number, to: number): number => from + random() * (to - from);
-
-/**
- * Creates a day with one to four faults that overlap, and changes in series or single ones.
- *
- * @example
- * const late = await playConfigDay(randomConfigDay(12));
- */
-export const randomConfigDay = (seed: number, kinds: readonly FaultKind[] = faultKinds): ConfigDay => {
-    const random = seededRandom(seed * 7_919 + 1);
-    const durationMs = 16_000;
-    const gapMs = between(random, 300, 3_000);
-    const changeAtMs: number[] = [];
-    for (let atMs = between(random, 0, gapMs); atMs < durationMs - 2_500; atMs += gapMs * between(random, 0.6, 1.4)) {
-        changeAtMs.push(Math.round(atMs));
-    }
-    const faults = Array.from({ length: 1 + Math.floor(random() * 4) }, (): ConfigFault => ({
-        kind: kinds[Math.floor(random() * kinds.length)]!,
-        atMs: Math.round(between(random, 200, durationMs - 6_000)),
-        forMs: Math.round(between(random, 500, 6_000)),
-        share: random() < 0.5 ? between(random, 0.03, 0.2) : between(random, 0.2, 0.7),
-        isAimedAtReaders: random() < 0.5,
-    }));
-    return { seed, instances: 44, zoneCount: 4, durationMs, changeAtMs, faults };
-};
-
 /** Plays a day and returns the late changes, at most one for each instance and version. */
 export const playConfigDay = async (day: ConfigDay): Promise<readonly LateChange[]> => new ConfigDayPlay(day).run();
 
@@ -124,34 +44,27 @@
     /** Time until which the store counts as disturbed, for all instances or with a longer bound. */
     #storeDownUntilMs = -Infinity;
     #storePartialUntilMs = -Infinity;
-    readonly #changes: Change[] = [];
+    readonly #writes: DayWrites;
+    #version = firstVersion;
     readonly #late = new Map<string, LateChange>();
 
     constructor(day: ConfigDay) {
         this.#day = day;
-        this.#fleet = new TestFleet({ zoneCount: day.zoneCount, seed: day.seed });
+        this.#fleet = new TestFleet(day);
         this.#random = seededRandom(day.seed * 31 + 5);
+        this.#writes = new DayWrites(this.#fleet.clock, this.#fleet.store, this.#random);
     }
 
     async run(): Promise<readonly LateChange[]> {
-        const { clock, store } = this.#fleet;
-        const { instances, durationMs, changeAtMs, faults } = this.#day;
-        store.put("config", "main", testConfig({ version: firstVersion }));
-        store.put("upstreams", "u1", testUpstream("u1"));
+        const { clock } = this.#fleet;
+        const { instances, durationMs, changeAtMs, faults, zoneEvacuationMs } = this.#day;
+        this.#writes.change(this.#version);
         this.#fleet.add(instances);
+        if (zoneEvacuationMs !== undefined) {
+            this.#planEvacuation();
+        }
         await clock.advance(warmUpMs);
-        let version = firstVersion;
-        changeAtMs.forEach(atMs =>
-            clock.after(atMs, () => {
-                version += 1 + Math.floor(this.#random() * 4);
-                // A store that is down takes no changes.
-                if (!store.isDown) {
-                    store.put("config", "main", testConfig({ version }));
-                    store.put("upstreams", "u1", testUpstream("u1", { startedMs: version }));
-                    this.#changes.push({ version, ackedMs: clock.monotonicMs() });
-                }
-            })
-        );
+        changeAtMs.forEach(atMs => clock.after(atMs, () => this.#change()));
         faults.forEach(fault => clock.after(fault.atMs, () => this.#begin(fault)));
         for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += checkIntervalMs) {
             await clock.advance(checkIntervalMs);
@@ -160,24 +73,82 @@
         return [...this.#late.values()];
     }
 
+    #change(): void {
+        this.#version += 1 + Math.floor(this.#random() * 4);
+        this.#writes.change(this.#version);
+    }
+
+    /** Lets an upstream leave, and evacuates a zone for a while, at random times around the first fault. */
+    #planEvacuation(): void {
+        const { clock } = this.#fleet;
+        const firstMs = warmUpMs + this.#day.faults.at(-1)!.atMs;
+        const at = (fromMs: number, toMs: number, task: () => void) =>
+            clock.after(firstMs + between(this.#random, fromMs, toMs), task);
+        this.#writes.setSecondUpstream("live");
+        at(-5_000, 1_000, () => this.#writes.setSecondUpstream("leaving"));
+        at(1_000, 4_000, () => this.#writes.setSecondUpstream("removed"));
+        at(-6_000, 500, () => this.#writes.setEvacuation(true));
+        at(2_000, 9_000, () => this.#writes.setEvacuation(false));
+    }
+
+    /** Records what instances hold, and have lost. */
+    #checkLosses(): void {
+        const nowMs = this.#fleet.clock.monotonicMs();
+        for (const instance of this.#fleet.instances) {
+            const loss = this.#writes.findLoss(instance, this.#isDisturbed(instance));
+            if (loss !== undefined) {
+                this.#late.set(`${loss} ${instance.self.id}`, {
+                    collection: "upstreams",
+                    loss,
+                    instance: instance.self.id,
+                    atMs: Math.round(nowMs - warmUpMs),
+                    heldVersion: instance.config.version,
+                    dueVersion: this.#version,
+                    ageMs: 0,
+                });
+            }
+        }
+    }
+
+    #isDisturbed({ self }: TestInstance): boolean {
+        return this.#fleet.clock.monotonicMs() < (this.#disturbedUntilMs.get(self.peerAddress) ?? -Infinity);
+    }
+
     #check(): void {
+        this.#checkLosses();
         const nowMs = this.#fleet.clock.monotonicMs();
         if (nowMs < this.#storeDownUntilMs) {
             return;
         }
         const boundMs = applyMs + (nowMs < this.#storePartialUntilMs ? maxStretchMs : 0);
-        const due = this.#changes.findLast(({ ackedMs }) => nowMs - ackedMs > boundMs);
-        for (const instance of due === undefined ? [] : this.#fleet.instances) {
-            if (nowMs >= (this.#disturbedUntilMs.get(instance.self.peerAddress) ?? -Infinity)) {
-                this.#checkInstance(instance, due!);
+        for (const instance of this.#fleet.instances) {
+            if (!this.#isDisturbed(instance)) {
+                this.#checkInstance(instance, boundMs);
             }
         }
     }
 
-    #checkInstance({ self, config, upstreams }: TestInstance, due: Change): void {
+    #checkInstance({ self, config, upstreams, evacuations }: TestInstance, boundMs: number): void {
         const nowMs = this.#fleet.clock.monotonicMs();
-        const held = { config: config.version, upstreams: upstreams.all()[0]?.startedMs ?? 0 };
+        const firstUpstream = upstreams.all().find(({ id }) => id === "u1");
+        const held = { config: config.version, upstreams: firstUpstream?.startedMs ?? 0 };
+        const { evacuatedMs = Infinity, changes } = this.#writes;
+        const ageMs = nowMs - evacuatedMs;
+        if (evacuations !== undefined && ageMs > evacuations.boundMs + boundMs - applyMs && evacuations.size === 0) {
+            this.#late.set(`evacuations ${self.id}`, {
+                collection: "evacuations",
+                instance: self.id,
+                atMs: Math.round(nowMs - warmUpMs),
+                heldVersion: 0,
+                dueVersion: 1,
+                ageMs,
+            });
+        }
         for (const collection of ["config", "upstreams"] as const) {
+            const due = changes[collection].findLast(({ ackedMs }) => nowMs - ackedMs > boundMs);
+            if (due === undefined) {
+                continue;
+            }
             const key = `${collection} ${self.peerAddress} ${due.version}`;
             if (held[collection] < due.version && !this.#late.has(key)) {
                 this.#late.set(key, {
@@ -242,6 +213,9 @@
             store.isDown = true;
             clock.after(forMs, () => store.isDown = false);
         }
+        else if (restoreKinds.includes(kind)) {
+            this.#restore(fault);
+        }
         else {
             this.#storePartialUntilMs = Math.max(this.#storePartialUntilMs, clock.monotonicMs() + 1_000 + stableMs);
             store.isMute = true;
@@ -252,6 +226,29 @@
         }
     }
 
+    #restore(fault: ConfigFault, isSecond = false): void {
+        const { kind, forMs } = fault;
+        const { clock, store } = this.#fleet;
+        if (kind === "restore-after-change") {
+            this.#change();
+        }
+        const startMs = clock.monotonicMs();
+        const copyAtMs = Math.max(0, startMs - between(this.#random, 5, 8_000));
+        store.answerDelayMs = () => this.#random() < 0.3 ? between(this.#random, 100, 1_100) : 0;
+        clock.after(lateAnswersMs, () => {
+            store.answerDelayMs = () => 0;
+            store.isDown = true;
+        });
+        this.#storeDownUntilMs = Math.max(this.#storeDownUntilMs, startMs + lateAnswersMs + forMs + stableMs);
+        clock.after(lateAnswersMs + forMs, () => {
+            store.isDown = false;
+            this.#writes.restore(copyAtMs);
+            if (kind === "restore-twice" && !isSecond) {
+                clock.after(between(this.#random, 1, 2_500), () => this.#restore({ ...fault, forMs: forMs / 2 }, true));
+            }
+        });
+    }
+
     #partFromStore(instances: readonly TestInstance[], { kind, forMs }: ConfigFault): void {
         const { clock } = this.#fleet;
         const reach = kind === "turned-away"
@@ -291,5 +288,7 @@
     }
 }
 
+/** Time before a restore in which answers are delayed. */
+const lateAnswersMs = 100;
 /** Time from the end of a process to the start of the next one at its address. */
 const restartMs = 500;
