--- a/packages/gateway/src/lib/store/held-evacuations.ts
+++ b/packages/gateway/src/lib/store/held-evacuations.ts
@@ -61,6 +61,7 @@
     }
 
     #from(source: "store" | "peer") {
-        return { source, behindMs: this.#context.behindMs() };
+        const { behindMs, confirmedAgeMs } = this.#context;
+        return { source, behindMs: behindMs(), confirmedAgeMs };
     }
 }
--- a/packages/gateway/src/lib/store/zone-evacuations.ts
+++ b/packages/gateway/src/lib/store/zone-evacuations.ts
@@ -15,13 +15,25 @@
 /** Evacuations of a deployment that has none. */
 export const noEvacuations: ZoneEvacuations = { isEvacuated: () => false, endedMs: () => undefined };
 
-/** Where a state comes from, for log lines. */
+/** Where a state comes from. */
 export interface EvacuationSource {
     readonly source: "store" | "peer";
+    /** Time since the store last confirmed the held state to any reader; undefined: never. */
+    readonly confirmedAgeMs: () => number | undefined;
     /** Time since the first news of a revision above the held one; 0 if there was none. */
     readonly behindMs: number;
 }
 
+/**
+ * Time for which an evacuation is kept that a restored store lacks, as a multiple of the bound. The operator needs the store
+ * to write it again, so the time begins anew while the store is out of reach; it includes what passes until that is noticed.
+ */
+const unconfirmedBounds = 2;
+/** Interval at which the reach of the store is checked meanwhile. */
+const reviewUnconfirmedMs = 500;
+/** Age of the confirmation above which the store is out of reach, as a share of the bound; watches wait for 0.4 of it. */
+const maxConfirmedAgeShare = 0.7;
+
 /** Options of {@link EvacuationRegistry}. */
 export interface EvacuationRegistryOptions {
     readonly clock: Clock;
@@ -42,7 +54,7 @@
     readonly #options: EvacuationRegistryOptions;
     #zones: ReadonlySet<ZoneId> = new Set();
     readonly #endedMs = new Map<ZoneId, number>();
-    /** Zones that a restored store lacks; they stay evacuated for the bound, in which the operator names them again. */
+    /** Zones that a restored store lacks; they stay evacuated for a while, in which the operator names them again. */
     readonly #unconfirmed = new Map<ZoneId, Timer>();
     #revision = 0;
 
@@ -86,6 +98,7 @@
             return false;
         }
         const zones = new Set([...items.values()].map(({ zone }) => zone));
+        const { boundMs } = this.#options;
         const isRestored = this.#revision > 0 && epochOf(revision) > epochOf(this.#revision);
         const isSame = zones.size === this.#zones.size && [...zones].every(zone => this.#zones.has(zone));
         if (isSame && this.#revision > 0 && !isRestored && origin.source === "store") {
@@ -93,7 +106,8 @@
         }
         zones.forEach(zone => this.#confirm(zone));
         if (isRestored) {
-            [...this.#zones].filter(zone => !zones.has(zone)).forEach(zone => this.#retain(zone));
+            const missing = [...this.#zones].filter(zone => !zones.has(zone));
+            missing.forEach(zone => this.#retain(zone, origin, boundMs * unconfirmedBounds));
         }
         this.#set(new Set([...zones, ...this.#unconfirmed.keys()]), revision, origin);
         return true;
@@ -118,14 +132,17 @@
         return true;
     }
 
-    /** Keeps a zone evacuated for the bound, unless its object is written or removed before. */
-    #retain(zone: ZoneId): void {
+    /** Keeps a zone evacuated for a time, unless its object is written or removed before. */
+    #retain(zone: ZoneId, origin: EvacuationSource, forMs: number): void {
         const { clock, boundMs } = this.#options;
         this.#confirm(zone);
-        const timer = clock.after(boundMs, () => {
-            this.#unconfirmed.delete(zone);
-            const zones = new Set([...this.#zones].filter(other => other !== zone));
-            this.#set(zones, this.#revision, { source: "store", behindMs: 0 });
+        if (forMs <= 0) {
+            this.#set(new Set([...this.#zones].filter(other => other !== zone)), this.#revision, origin);
+            return;
+        }
+        const timer = clock.after(reviewUnconfirmedMs, () => {
+            const isInReach = (origin.confirmedAgeMs() ?? Infinity) <= boundMs * maxConfirmedAgeShare;
+            this.#retain(zone, origin, isInReach ? forMs - reviewUnconfirmedMs : boundMs * unconfirmedBounds);
         });
         this.#unconfirmed.set(zone, timer);
     }
