--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -21,13 +21,14 @@
 import type { HeaderCodec } from "./request/ports.js";
 import { CurrentConfig } from "./routing/current-config.js";
 import type { GatewaySettings } from "./settings.js";
-import { ColdUpstreams } from "./statements/cold-upstreams.js";
+import { createSlowStart } from "./slow-start-components.js";
+import type { ColdUpstreams } from "./statements/cold-upstreams.js";
 import { LimitMeters } from "./statements/limit-meters.js";
 import { UpstreamOutages } from "./statements/upstream-outages.js";
 import type { SharedOutage } from "./statements/upstream-outages.js";
 import { UpstreamStatements } from "./statements/upstream-statements.js";
 import type { SharedStatement } from "./statements/upstream-statements.js";
-import { WarmupPermits } from "./statements/warmup-permits.js";
+import type { WarmupPermits } from "./statements/warmup-permits.js";
 import { FleetState } from "./store/fleet-state.js";
 import { InstanceRecords } from "./store/instance-records.js";
 import type { StorePort } from "./store/ports.js";
@@ -214,7 +215,7 @@
 };
 
 const createRecords = (
-    { clock, log }: GatewayOptions,
+    { clock, log, random }: GatewayOptions,
     { self, store }: FleetSetup,
     { roster, exchange, state }: Pick<FleetComponents, "roster" | "exchange" | "state">,
 ): InstanceRecords =>
@@ -222,41 +223,15 @@
         self,
         clock,
         log,
+        random,
         store,
+        epoch: () => state.epoch,
         isReader: () => state.isReader,
         isIsolated: () => roster.live().length === 0,
         isLive: address => roster.isLive(address),
         contact: address => exchange.contact(address),
     });
 
-const createSlowStart = (
-    { clock, log, settings }: GatewayOptions,
-    { self }: FleetSetup,
-    { roster, config, upstreams, outages, evacuations }: Pick<
-        FleetComponents,
-        "roster" | "config" | "upstreams" | "outages" | "evacuations"
-    >,
-): Pick<FleetComponents, "permits" | "cold"> => {
-    const permits = new WarmupPermits({
-        self,
-        clock,
-        members: () => roster.known(),
-        upstreamZones: () => upstreams.all().map(({ zone }) => zone),
-        hasPeers: () => settings().seedPeers.some(address => address !== self.peerAddress),
-    });
-    const cold = new ColdUpstreams({
-        clock,
-        log,
-        ownAddress: self.peerAddress,
-        serviceOf: service => config.service(service),
-        outages,
-        permits,
-        zoneEvacuationEndedMs: zone => evacuations?.endedMs(zone),
-        bound: () => ({ overage: settings().warmupOverage, slack: settings().warmupSlack }),
-    });
-    return { permits, cold };
-};
-
 /** What a heartbeat reports of rates and retry budgets. */
 type ReportedUsage = Pick<Heartbeat, "usage" | "hasScarceUsage">;
 
--- a/packages/gateway/src/lib/store/zone-evacuations.ts
+++ b/packages/gateway/src/lib/store/zone-evacuations.ts
@@ -1,7 +1,8 @@
 /** The zones whose upstreams get no requests, as of a store revision. */
-import type { Clock, LogPort, ZoneId } from "@sniperoad/core";
+import type { Clock, LogPort, Timer, ZoneId } from "@sniperoad/core";
 import type { Evacuation } from "../model.js";
 import type { StoreChange, StoreSnapshot } from "./ports.js";
+import { epochOf } from "./store-epoch.js";
 
 /** What other components may ask about evacuations; the load that it addresses is that of a zone which is emptied. */
 export interface ZoneEvacuations {
@@ -14,13 +15,25 @@
 /** Evacuations of a deployment that has none. */
 export const noEvacuations: ZoneEvacuations = { isEvacuated: () => false, endedMs: () => undefined };
 
-/** Where a state comes from, for log lines. */
+/** Where a state comes from. */
 export interface EvacuationSource {
     readonly source: "store" | "peer";
+    /** Time since the store last confirmed the held state to any reader; undefined: never. */
+    readonly confirmedAgeMs: () => number | undefined;
     /** Time since the first news of a revision above the held one; 0 if there was none. */
     readonly behindMs: number;
 }
 
+/**
+ * Time for which an evacuation is kept that a restored store lacks, as a multiple of the bound. The operator needs the store
+ * to write it again, so the time begins anew while the store is out of reach; it includes what passes until that is noticed.
+ */
+const unconfirmedBounds = 2;
+/** Interval at which the reach of the store is checked meanwhile. */
+const reviewUnconfirmedMs = 500;
+/** Age of the confirmation above which the store is out of reach, as a share of the bound; watches wait for 0.4 of it. */
+const maxConfirmedAgeShare = 0.7;
+
 /** Options of {@link EvacuationRegistry}. */
 export interface EvacuationRegistryOptions {
     readonly clock: Clock;
@@ -41,6 +54,8 @@
     readonly #options: EvacuationRegistryOptions;
     #zones: ReadonlySet<ZoneId> = new Set();
     readonly #endedMs = new Map<ZoneId, number>();
+    /** Zones that a restored store lacks; they stay evacuated for a while, in which the operator names them again. */
+    readonly #unconfirmed = new Map<ZoneId, Timer>();
     #revision = 0;
 
     constructor(options: EvacuationRegistryOptions) {
@@ -69,24 +84,32 @@
         return this.#endedMs.get(zone);
     }
 
+    /** All evacuations in the store, without those that a restored store lacks. */
     all(): readonly Evacuation[] {
-        return [...this.#zones].sort().map(zone => ({ zone }));
+        return [...this.#zones].filter(zone => !this.#unconfirmed.has(zone)).sort().map(zone => ({ zone }));
     }
 
     /**
      * Replaces the list if the snapshot is newer, and returns whether it did. The revision of an equal list from the store
-     * is not adopted, since all other instances would then fetch the list.
+     * is not adopted, since all other instances would then fetch the list, unless its epoch is higher.
      */
     replace({ revision, items }: StoreSnapshot<Evacuation>, origin: EvacuationSource): boolean {
         if (revision <= this.#revision) {
             return false;
         }
         const zones = new Set([...items.values()].map(({ zone }) => zone));
+        const { boundMs } = this.#options;
+        const isRestored = this.#revision > 0 && epochOf(revision) > epochOf(this.#revision);
         const isSame = zones.size === this.#zones.size && [...zones].every(zone => this.#zones.has(zone));
-        if (isSame && this.#revision > 0 && origin.source === "store") {
+        if (isSame && this.#revision > 0 && !isRestored && origin.source === "store") {
             return false;
         }
-        this.#set(zones, revision, origin);
+        zones.forEach(zone => this.#confirm(zone));
+        if (isRestored) {
+            const missing = [...this.#zones].filter(zone => !zones.has(zone));
+            missing.forEach(zone => this.#retain(zone, origin, boundMs * unconfirmedBounds));
+        }
+        this.#set(new Set([...zones, ...this.#unconfirmed.keys()]), revision, origin);
         return true;
     }
 
@@ -97,6 +120,7 @@
         }
         const zones = new Set(this.#zones);
         for (const { name, value } of changes) {
+            this.#confirm(name as ZoneId);
             if (value === undefined) {
                 zones.delete(name as ZoneId);
             }
@@ -108,6 +132,27 @@
         return true;
     }
 
+    /** Keeps a zone evacuated for a time, unless its object is written or removed before. */
+    #retain(zone: ZoneId, origin: EvacuationSource, forMs: number): void {
+        const { clock, boundMs } = this.#options;
+        this.#confirm(zone);
+        if (forMs <= 0) {
+            this.#set(new Set([...this.#zones].filter(other => other !== zone)), this.#revision, origin);
+            return;
+        }
+        const timer = clock.after(reviewUnconfirmedMs, () => {
+            const isInReach = (origin.confirmedAgeMs() ?? Infinity) <= boundMs * maxConfirmedAgeShare;
+            this.#retain(zone, origin, isInReach ? forMs - reviewUnconfirmedMs : boundMs * unconfirmedBounds);
+        });
+        this.#unconfirmed.set(zone, timer);
+    }
+
+    /** Records that the store names a zone again, or that its removal is known. */
+    #confirm(zone: ZoneId): void {
+        this.#unconfirmed.get(zone)?.cancel();
+        this.#unconfirmed.delete(zone);
+    }
+
     #set(zones: ReadonlySet<ZoneId>, revision: number, { source, behindMs }: EvacuationSource): void {
         const { clock, log } = this.#options;
         const previous = this.#zones;
--- a/packages/gateway/src/lib/testing/test-fleet.ts
+++ b/packages/gateway/src/lib/testing/test-fleet.ts
@@ -19,6 +19,9 @@
 import { MemoryDatagrams } from "./memory-datagrams.js";
 import { MemoryStore } from "./memory-store.js";
 
+/** The instances write no log. */
+const log = { event: () => {} };
+
 /** One instance of a {@link TestFleet}. */
 export interface TestInstance {
     readonly self: GatewayInstance;
@@ -149,13 +152,12 @@
         const boundMs = this.#zoneEvacuationMs;
         return boundMs === undefined
             ? undefined
-            : new EvacuationRegistry({ clock: this.clock, log: { event: () => {} }, boundMs });
+            : new EvacuationRegistry({ clock: this.clock, log, boundMs });
     }
 
     #start(number: number, seeds: readonly string[], incarnation = 0): TestInstance {
         const { clock, random, datagrams, store } = this;
         const self = this.#identity(number, incarnation);
-        const log = { event: () => {} };
         const reach = { store: true, isStoreSilent: false };
         const payload = { next: (): Partial<HeartbeatPayload> => ({}) };
         const received: TestInstance["received"] = { outcomes: [], successes: [], statements: [], outages: [] };
@@ -212,7 +214,9 @@
             self,
             clock,
             log,
+            random,
             store: port,
+            epoch: () => state.epoch,
             isReader: () => state.isReader,
             isIsolated: () => roster.live().length === 0,
             isLive: address => roster.isLive(address),
