--- a/packages/gateway/src/lib/admission/service-load.ts
+++ b/packages/gateway/src/lib/admission/service-load.ts
@@ -35,15 +35,19 @@
     return limit === undefined || answerTimeMs === undefined ? Infinity : limit * answerTimeMs / 1_000;
 };
 
+/** Requests in flight and slots of the upstreams of a service that serve requests. */
+export interface ServiceLoad {
+    readonly inFlight: number;
+    readonly slots: number;
+}
+
 /**
- * Requests in flight per slot over the upstreams of a service that serve requests: 1 means that all slots are in use,
- * and more that requests wait at the upstreams. It answers for load that exceeds a service as a whole, which no choice
- * among its upstreams can avoid. Returns 0 for a service without upstreams, which is refused for that reason.
+ * Sums up the upstreams of a service that serve requests.
  *
  * @example
- * if (utilizationOf(candidates, state, clock) < 1) { hedge }
+ * const { inFlight, slots } = loadOf(candidates, state, clock);
  */
-export const utilizationOf = (candidates: readonly KnownUpstream[], state: UpstreamState, clock: Clock): number => {
+export const loadOf = (candidates: readonly KnownUpstream[], state: UpstreamState, clock: Clock): ServiceLoad => {
     const nowMs = clock.monotonicMs();
     const reachable = candidates.filter(({ listed }) => !state.isBackingOff(listed.id));
     let [slots, inFlight] = [0, 0];
@@ -52,5 +56,18 @@
         slots += Math.min(slotsOf(upstream, nowMs), limitedSlots(upstream, state)) * healthyShare;
         inFlight += state.inFlight(upstream.listed.id) * healthyShare;
     }
+    return { inFlight, slots };
+};
+
+/**
+ * Requests in flight per slot over the upstreams of a service that serve requests: 1 means that all slots are in use,
+ * and more that requests wait at the upstreams. It answers for load that exceeds a service as a whole, which no choice
+ * among its upstreams can avoid. Returns 0 for a service without upstreams, which is refused for that reason.
+ *
+ * @example
+ * if (utilizationOf(candidates, state, clock) < 1) { hedge }
+ */
+export const utilizationOf = (candidates: readonly KnownUpstream[], state: UpstreamState, clock: Clock): number => {
+    const { inFlight, slots } = loadOf(candidates, state, clock);
     return slots > 0 ? inFlight / slots : 0;
 };
