Share the capacity of a service among organisations by their declared rates

Cause: under overload every organisation lost the same share of its requests, so one with many times its usual load displaced the others. Change: the pressure on a service is divided by max-min fairness, weighted by declared rates, from the usage that the rate limiter knows of the fleet.

--- a/packages/gateway/src/lib/admission-components.ts
+++ b/packages/gateway/src/lib/admission-components.ts
@@ -2,6 +2,7 @@
 import type { RouteId, ServiceId } from "@sniperoad/core";
 import { Admission } from "./admission/admission.js";
 import { AnswerTimes } from "./admission/answer-times.js";
+import { FairShares } from "./admission/fair-shares.js";
 import { loadOf, utilizationOf } from "./admission/service-load.js";
 import type { UpstreamState } from "./admission/service-load.js";
 import { ServicePressures } from "./admission/service-pressures.js";
@@ -27,7 +28,7 @@
     paths: PathBackoff,
     willing: WillingUpstreams,
 ): AdmissionComponents => {
-    const { upstreams, load, gray, statements, exchange } = fleet;
+    const { upstreams, load, gray, statements, exchange, config, rates } = fleet;
     const answerTimes = new AnswerTimes<RouteId>(clock);
     const serviceTimes = new AnswerTimes<ServiceId>(clock);
     const accepting = (service: ServiceId) => willing.accepting(upstreams.forService(service));
@@ -51,11 +52,21 @@
             pressures.recordCompleted(service, count);
         }
     });
+    const fairShares = new FairShares({
+        clock,
+        demands: () =>
+            (config.current?.config.organisations ?? []).map(({ id, ratePerSecond }) => ({
+                id,
+                declaredPerSecond: ratePerSecond,
+                offeredPerSecond: rates.offeredPerSecond(id),
+            })),
+    });
     const admission = new Admission({
         clock,
         random,
         shareWithin: (route, limitMs) => answerTimes.shareWithin(route, limitMs),
         expected: (service, route) => pressures.expected(service, route),
+        levelOf: (organisation, level) => fairShares.levelOf(organisation, level),
     });
     return { admission, pressures, utilization, answerTimes, serviceTimes };
 };
--- a/packages/gateway/src/lib/admission/admission-table.test.ts
+++ b/packages/gateway/src/lib/admission/admission-table.test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { formerDecisions } from "../testing/former-admission.js";
-import { currentDecisions } from "../testing/instance-decisions.js";
+import { currentDecisions, withoutFairShares } from "../testing/instance-decisions.js";
 import { overloads } from "../testing/overload-loads.js";
 import { playOverload } from "../testing/overload-simulation.js";
 import type { Served } from "../testing/overload-simulation.js";
@@ -52,6 +52,18 @@
     assert.ok(shareOf(current, "short", "answered") >= 0.9);
 });
 
+// Guards against an organisation with many times its usual load that displaces the others.
+test("other organisations are served better beside one at 7.5 times its rate with shares than without", async () => {
+    const load = overloads(96, 24).find(({ name }) => name.startsWith("an organisation"))!;
+    const others = (served: readonly Served[]) =>
+        totalOf(served.filter(({ organisation }) => organisation !== "org-1"));
+    const without = others(await playOverload(load, withoutFairShares));
+    const current = others(await playOverload(load, currentDecisions));
+    const text = JSON.stringify({ without, current });
+    assert.ok(current.inTime >= 1.15 * without.inTime, text);
+    assert.ok(current.refused + current.lost <= 0.02 * current.asked, text);
+});
+
 test.after(() => console.log(rows.join("\n")));
 
 test.run();
--- a/packages/gateway/src/lib/admission/admission.test.ts
+++ b/packages/gateway/src/lib/admission/admission.test.ts
@@ -15,6 +15,7 @@
 const request: AdmissionRequest = {
     route,
     service,
+    organisation: undefined,
     fingerprint: "f1",
     targetLatencyMs: 600,
     priority: 1,
@@ -27,7 +28,8 @@
     const clock = new VirtualClock();
     const times = new AnswerTimes<RouteId>(clock);
     const shareWithin = (of: RouteId, limitMs: number) => times.shareWithin(of, limitMs);
-    const admission = new Admission({ clock, random: seededRandom(1), shareWithin, expected: () => expected });
+    const levelOf = (_organisation: unknown, level: number) => level;
+    const admission = new Admission({ clock, random: seededRandom(1), shareWithin, expected: () => expected, levelOf });
     return { clock, times, admission };
 };
 
@@ -152,7 +154,13 @@
 // Guards against callers that return while no upstream accepts requests, or wait although that comes too late.
 test("a retry delay is not shorter than the time for which a service is closed", () => {
     const clock = new VirtualClock();
-    const admission = new Admission({ clock, random: () => 0, shareWithin: () => 1, expected: () => unknown });
+    const admission = new Admission({
+        clock,
+        random: () => 0,
+        shareWithin: () => 1,
+        expected: () => unknown,
+        levelOf: () => 0,
+    });
     const urgent = { ...request, targetLatencyMs: 300, priority: 0, leftMs: 1_500, utilization: 0 };
     assert.is(admission.retryAfterMs(urgent, 400), 400);
     assert.is(admission.retryAfterMs(urgent, 600), undefined);
--- a/packages/gateway/src/lib/admission/admission.ts
+++ b/packages/gateway/src/lib/admission/admission.ts
@@ -1,6 +1,6 @@
 /** Decides which requests are sent to upstreams, and when callers of the others may return. */
 import { hash32 } from "@sniperoad/core";
-import type { Clock, Random, RouteId, ServiceId } from "@sniperoad/core";
+import type { Clock, OrganisationId, Random, RouteId, ServiceId } from "@sniperoad/core";
 import type { ExpectedTimes } from "./service-pressures.js";
 
 /** Share of recent answers that must have been fast enough for the time that a request has left. */
@@ -49,6 +49,7 @@
 export interface AdmissionRequest {
     readonly route: RouteId;
     readonly service: ServiceId;
+    readonly organisation: OrganisationId | undefined;
     /** Text that is equal for equal requests of an organisation. */
     readonly fingerprint: string;
     /** Latency up to which an answer has its full value. */
@@ -73,6 +74,8 @@
     readonly shareWithin: (route: RouteId, limitMs: number) => number | undefined;
     /** Expected wait and work, and the pressure on the service. */
     readonly expected: (service: ServiceId, route: RouteId) => ExpectedTimes;
+    /** Pressure on an organisation; see `FairShares`. */
+    readonly levelOf: (organisation: OrganisationId | undefined, level: number) => number;
     readonly clock: Clock;
 }
 
@@ -110,10 +113,14 @@
                 ? this.#reject(request, `the service has ${request.utilization.toFixed(1)} requests for each slot`)
                 : { kind: "admit" };
         }
-        const share = Math.max(minShare, Math.exp(-level * rankWeights[rank]!));
+        const organisationLevel = this.#options.levelOf(request.organisation, level);
+        const share = Math.max(minShare, Math.exp(-organisationLevel * rankWeights[rank]!));
         return this.#chance(request) < share
             ? { kind: "admit" }
-            : this.#reject(request, `${Math.round(share * 100)} % of the requests of rank ${rank} are admitted`);
+            : this.#reject(
+                request,
+                `${Math.round(share * 100)} % of the organisation's requests of rank ${rank} are admitted`,
+            );
     }
 
     #reject(request: AdmissionRequest, reason: string): AdmissionDecision {
--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
@@ -107,6 +107,12 @@
         this.#account(organisation).offered.add(1);
     }
 
+    /** Requests per second from the callers of an organisation, at all instances, whether they are admitted or not. */
+    offeredPerSecond(organisation: OrganisationId): number {
+        const own = this.#accounts.get(organisation)?.offered.total() ?? 0;
+        return (own + this.#remote.usage(nameKey(organisation)).offered) * 1_000 / demandWindowMs;
+    }
+
     /** Decides whether to admit a request, and counts it if so. */
     tryAdmit(organisation: GatewayOrganisation, size: FleetSize): RateDecision {
         const account = this.#account(organisation.id);
--- a/packages/gateway/src/lib/request/request-handler.test.ts
+++ b/packages/gateway/src/lib/request/request-handler.test.ts
@@ -65,6 +65,7 @@
             clock,
             random,
             shareWithin: () => undefined,
+            levelOf: (_organisation, level) => level,
             expected: () => ({ level: undefined, waitMs: 0, workMs: undefined }),
         }),
         onAdmissible: () => {},
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -208,6 +208,7 @@
         return {
             route: route.id,
             service,
+            organisation: organisation?.id,
             fingerprint,
             targetLatencyMs: route.targetLatencyMs,
             priority: organisation?.priority ?? route.priority,
--- a/packages/gateway/src/lib/testing/instance-decisions.ts
+++ b/packages/gateway/src/lib/testing/instance-decisions.ts
@@ -4,9 +4,10 @@
 import { Admission } from "../admission/admission.js";
 import type { AdmissionRequest } from "../admission/admission.js";
 import { AnswerTimes } from "../admission/answer-times.js";
+import { FairShares } from "../admission/fair-shares.js";
 import { pressureIntervalMs } from "../admission/service-pressure.js";
 import { ServicePressures } from "../admission/service-pressures.js";
-import type { InstanceContext, SimulatedCall, SimulatedDecisions } from "./overload-simulation.js";
+import type { InstanceContext, Policy, SimulatedCall, SimulatedDecisions } from "./overload-simulation.js";
 
 const service = id<ServiceId>("service");
 
@@ -16,8 +17,18 @@
  * @example
  * const served = await playOverload(load, currentDecisions);
  */
-export const currentDecisions = (context: InstanceContext): SimulatedDecisions => {
-    const { clock, random, serviceLoad, completed, reportAgeMs, load } = context;
+export const currentDecisions: Policy = context => decisionsWith(context, { isFair: true });
+
+/**
+ * The same without the shares of organisations, to show their effect.
+ *
+ * @example
+ * const served = await playOverload(load, withoutFairShares);
+ */
+export const withoutFairShares: Policy = context => decisionsWith(context, { isFair: false });
+
+const decisionsWith = (context: InstanceContext, { isFair }: { readonly isFair: boolean; }): SimulatedDecisions => {
+    const { clock, random, serviceLoad, completed, reportAgeMs, load, offeredPerSecond } = context;
     const times = new AnswerTimes<RouteId>(clock);
     const pressures = new ServicePressures({
         clock,
@@ -33,17 +44,28 @@
         clock.after(pressureIntervalMs, review);
     };
     review();
+    const fairShares = new FairShares({
+        clock,
+        demands: () =>
+            load.organisations.map(({ id: organisation, declaredPerSecond }) => ({
+                id: organisation,
+                declaredPerSecond,
+                offeredPerSecond: offeredPerSecond(organisation),
+            })),
+    });
     const admission = new Admission({
         clock,
         random,
         shareWithin: (route, limitMs) => times.shareWithin(route, limitMs),
         expected: (of, route) => pressures.expected(of, route),
+        levelOf: (organisation, level) => isFair ? fairShares.levelOf(organisation, level) : level,
     });
-    const requestOf = ({ route, deadlineAtMs, name }: SimulatedCall): AdmissionRequest => {
+    const requestOf = ({ route, organisation, deadlineAtMs, name }: SimulatedCall): AdmissionRequest => {
         const { inFlight, slots } = serviceLoad();
         return {
             route: route.id,
             service,
+            organisation: organisation.id,
             fingerprint: name,
             targetLatencyMs: route.targetLatencyMs,
             priority: route.rank,
--- a/packages/gateway/src/lib/testing/overload-loads.ts
+++ b/packages/gateway/src/lib/testing/overload-loads.ts
@@ -14,8 +14,8 @@
 const organisationsOf = (count: number, factorOfFirst: (nowMs: number) => number, perSecond: number) =>
     Array.from({ length: count }, (_, index): SimulatedOrganisation => ({
         id: id<OrganisationId>(`org-${index + 1}`),
-        // Declared rates leave room above the usual one.
-        declaredPerSecond: 2 * perSecond / count,
+        // Rates leave room for the largest multiple of the usual load, so that the rate limit does not hide its effect.
+        declaredPerSecond: 8 * perSecond / count,
         factor: index === 0 ? factorOfFirst : () => 1,
     }));
 
--- a/packages/gateway/src/lib/testing/overload-main.ts
+++ b/packages/gateway/src/lib/testing/overload-main.ts
@@ -1,7 +1,7 @@
 /** `npm run overload -- [INSTANCES UPSTREAMS [LOAD]]`: prints what callers get by each kind of decisions. */
 import process from "node:process";
 import { formerDecisions } from "./former-admission.js";
-import { currentDecisions } from "./instance-decisions.js";
+import { currentDecisions, withoutFairShares } from "./instance-decisions.js";
 import { overloads } from "./overload-loads.js";
 import { playOverload } from "./overload-simulation.js";
 import type { Policy } from "./overload-simulation.js";
@@ -15,6 +15,7 @@
 const policies: Readonly<Record<string, Policy>> = {
     former: formerDecisions,
     current: currentDecisions,
+    "without shares": withoutFairShares,
     oracle: "oracle",
 };
 process.stdout.write(`${tableHead}\n`);
