Retry-After from the expected time until a request is admitted

Cause: delays by rank and utilization brought rejected callers back before they had a better chance, and each return adds to the requests that are rejected. Change: a request rejected by the share of its rank returns after half a second divided by that share, within 30 % and a third of the time left. Rejections of upstreams with room still lead to a return after 50 ms.

--- a/packages/gateway/src/lib/admission/admission.test.ts
+++ b/packages/gateway/src/lib/admission/admission.test.ts
@@ -114,6 +114,24 @@
     assert.ok(Math.max(...delays(2, 600)) <= 200);
 });
 
+// Guards against callers that return long before they are admitted, and add to the requests that are rejected.
+test("under pressure callers return when they can expect to be admitted, within a third of the time left", () => {
+    const delays = (level: number, leftMs: number) => {
+        const { admission } = setUp({ level, waitMs: 200, workMs: 100 });
+        const decisions = Array.from(
+            { length: 200 },
+            (_, index) => admission.decide({ ...request, leftMs, fingerprint: `f${index}` }),
+        );
+        return decisions.flatMap(decision => decision.kind === "reject" ? decision.retryAfterMs ?? [] : []);
+    };
+    const [mild, strong] = [delays(0.3, 30_000), delays(1.5, 30_000)];
+    // One of 1 / share chances of half a second each is expected to be sufficient.
+    assert.ok(mild.every(delay => delay >= 0.7 * 500 * Math.exp(0.3) && delay <= 1.3 * 500 * Math.exp(0.3)));
+    assert.ok(Math.min(...strong) > Math.max(...mild));
+    assert.ok(new Set(strong.map(delay => Math.round(delay / 20))).size > 10);
+    assert.is(Math.max(...delays(1.5, 1_500)), 500);
+});
+
 // Guards against a promise to a caller whose time is over when it returns.
 test("no return is promised if too little time would be left", () => {
     const { times, admission } = setUp();
--- a/packages/gateway/src/lib/admission/admission.ts
+++ b/packages/gateway/src/lib/admission/admission.ts
@@ -117,10 +117,12 @@
         const share = Math.max(minShare, Math.exp(-organisationLevel * rankWeights[rank]!));
         return this.#chance(request) < share
             ? { kind: "admit" }
-            : this.#reject(
-                request,
-                `${Math.round(share * 100)} % of the organisation's requests of rank ${rank} are admitted`,
-            );
+            : {
+                kind: "reject",
+                reason: `${Math.round(share * 100)} % of the organisation's requests of rank ${rank} are admitted`,
+                // The expected time until one of its chances is sufficient.
+                retryAfterMs: this.#spreadRetry(request, chanceMs / share),
+            };
     }
 
     #reject(request: AdmissionRequest, reason: string): AdmissionDecision {
