Metrics and log lines of admission: pressure, rejections by rank and cause, shares of organisations

Cause: operators could not see that a service is overloaded, nor whom it rejects and why. Change: service-overload and service-overload-end with the share that can be admitted, the wait and the organisations with the lowest shares; sniperoad_admission_level and sniperoad_admission_rejections_total.

--- a/packages/gateway/src/lib/admission-components.ts
+++ b/packages/gateway/src/lib/admission-components.ts
@@ -3,12 +3,14 @@
 import { Admission } from "./admission/admission.js";
 import { AnswerTimes } from "./admission/answer-times.js";
 import { FairShares } from "./admission/fair-shares.js";
+import { OverloadLog } from "./admission/overload-log.js";
 import { loadOf, utilizationOf } from "./admission/service-load.js";
 import type { UpstreamState } from "./admission/service-load.js";
 import { ServicePressures } from "./admission/service-pressures.js";
 import type { RemoteLoad } from "./balance/load-estimate.js";
 import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
 import type { PathBackoff } from "./health/path-backoff.js";
+import type { GatewayMetrics } from "./observe/metrics.js";
 import type { WillingUpstreams } from "./statements/willing-upstreams.js";
 
 /** Components that decide on the admission of requests. */
@@ -23,10 +25,11 @@
 
 /** Creates the components that decide on the admission of requests. */
 export const createAdmissionComponents = (
-    { clock, random }: GatewayOptions,
+    { clock, random, log }: GatewayOptions,
     fleet: FleetComponents,
     paths: PathBackoff,
     willing: WillingUpstreams,
+    metrics: Pick<GatewayMetrics, "recordRejection">,
 ): AdmissionComponents => {
     const { upstreams, load, gray, statements, exchange, config, rates } = fleet;
     const answerTimes = new AnswerTimes<RouteId>(clock);
@@ -40,11 +43,23 @@
         answerTimeMs: serviceTimes.quantile(service, 0.5),
     });
     const utilization = (service: ServiceId): number => utilizationOf(accepting(service), stateOf(service), clock);
+    const fairShares = new FairShares({
+        clock,
+        demands: () =>
+            (config.current?.config.organisations ?? []).map(({ id, ratePerSecond }) => ({
+                id,
+                declaredPerSecond: ratePerSecond,
+                offeredPerSecond: rates.offeredPerSecond(id),
+            })),
+    });
+    const overloads = new OverloadLog(clock, log);
     const pressures = new ServicePressures({
         clock,
         loadOf: service => loadOf(accepting(service), stateOf(service), clock),
         reportAgeMs: () => meanAgeMs(exchange.view.loads(), clock.monotonicMs()),
         fleetSize: fleet.fleetSize,
+        onReview: (service, { level, waitMs }) =>
+            overloads.review(service, { level, waitMs, shares: () => fairShares.shares(level) }),
     });
     fleet.onCompleted((upstream, count) => {
         const service = upstreams.get(upstream)?.listed.service;
@@ -52,21 +67,13 @@
             pressures.recordCompleted(service, count);
         }
     });
-    const fairShares = new FairShares({
-        clock,
-        demands: () =>
-            (config.current?.config.organisations ?? []).map(({ id, ratePerSecond }) => ({
-                id,
-                declaredPerSecond: ratePerSecond,
-                offeredPerSecond: rates.offeredPerSecond(id),
-            })),
-    });
     const admission = new Admission({
         clock,
         random,
         shareWithin: (route, limitMs) => answerTimes.shareWithin(route, limitMs),
         expected: (service, route) => pressures.expected(service, route),
         levelOf: (organisation, level) => fairShares.levelOf(organisation, level),
+        onReject: (rank, cause) => metrics.recordRejection(rank, cause),
     });
     return { admission, pressures, utilization, answerTimes, serviceTimes };
 };
--- a/packages/gateway/src/lib/admission/admission.test.ts
+++ b/packages/gateway/src/lib/admission/admission.test.ts
@@ -5,7 +5,7 @@
 import * as assert from "uvu/assert";
 import { knownUpstream } from "../testing/index.js";
 import { Admission } from "./admission.js";
-import type { AdmissionRequest } from "./admission.js";
+import type { AdmissionRequest, RejectionCause } from "./admission.js";
 import { AnswerTimes } from "./answer-times.js";
 import { utilizationOf } from "./service-load.js";
 import type { ExpectedTimes } from "./service-pressures.js";
@@ -25,12 +25,21 @@
 const unknown: ExpectedTimes = { level: undefined, waitMs: 0, workMs: undefined };
 
 const setUp = (expected = unknown) => {
+    const rejected: string[] = [];
     const clock = new VirtualClock();
     const times = new AnswerTimes<RouteId>(clock);
     const shareWithin = (of: RouteId, limitMs: number) => times.shareWithin(of, limitMs);
+    const onReject = (rank: number, cause: RejectionCause) => rejected.push(`${rank} ${cause}`);
     const levelOf = (_organisation: unknown, level: number) => level;
-    const admission = new Admission({ clock, random: seededRandom(1), shareWithin, expected: () => expected, levelOf });
-    return { clock, times, admission };
+    const admission = new Admission({
+        clock,
+        random: seededRandom(1),
+        shareWithin,
+        expected: () => expected,
+        levelOf,
+        onReject,
+    });
+    return { clock, times, admission, rejected };
 };
 
 // Guards against requests that take a slot, or wait until their deadline, although no answer can arrive before it.
@@ -76,9 +85,10 @@
 
 // Guards against requests that wait at an upstream until their deadline.
 test("a request whose expected wait exceeds the time left is rejected", () => {
-    const { admission } = setUp({ level: 0, waitMs: 900, workMs: 200 });
+    const { admission, rejected } = setUp({ level: 0, waitMs: 900, workMs: 200 });
     assert.is(admission.decide({ ...request, leftMs: 1_100 }).kind, "admit");
     assert.is(admission.decide({ ...request, leftMs: 950 }).kind, "reject");
+    assert.equal(rejected, ["1 wait"]);
 });
 
 test("without known answer times only a fraction of the objective is hopeless", () => {
@@ -178,6 +188,7 @@
         shareWithin: () => 1,
         expected: () => unknown,
         levelOf: () => 0,
+        onReject: () => {},
     });
     const urgent = { ...request, targetLatencyMs: 300, priority: 0, leftMs: 1_500, utilization: 0 };
     assert.is(admission.retryAfterMs(urgent, 400), 400);
--- a/packages/gateway/src/lib/admission/admission.ts
+++ b/packages/gateway/src/lib/admission/admission.ts
@@ -62,10 +62,21 @@
     readonly utilization: number;
 }
 
+/**
+ * Why a request is rejected: no answer is possible in the time left, the expected wait is too long, the share of its rank
+ * and organisation is used up, or the service has too many requests while its service time is unknown.
+ */
+export type RejectionCause = "deadline" | "wait" | "share" | "utilization";
+
 /** A decision on a request. */
 export type AdmissionDecision =
     | { readonly kind: "admit"; }
-    | { readonly kind: "reject"; readonly reason: string; readonly retryAfterMs: number | undefined; };
+    | {
+        readonly kind: "reject";
+        readonly cause: RejectionCause;
+        readonly reason: string;
+        readonly retryAfterMs: number | undefined;
+    };
 
 /** What an {@link Admission} depends on. */
 export interface AdmissionOptions {
@@ -77,6 +88,7 @@
     /** Pressure on an organisation; see `FairShares`. */
     readonly levelOf: (organisation: OrganisationId | undefined, level: number) => number;
     readonly clock: Clock;
+    readonly onReject: (rank: number, cause: RejectionCause) => void;
 }
 
 /**
@@ -96,21 +108,34 @@
     }
 
     decide(request: AdmissionRequest): AdmissionDecision {
+        const decision = this.#decide(request);
+        if (decision.kind === "reject") {
+            this.#options.onReject(rankOf(request), decision.cause);
+        }
+        return decision;
+    }
+
+    #decide(request: AdmissionRequest): AdmissionDecision {
         if (!this.hasHope(request, request.leftMs)) {
             return {
                 kind: "reject",
+                cause: "deadline",
                 reason: `no answer is possible within the ${Math.round(request.leftMs)} ms that are left`,
                 retryAfterMs: undefined,
             };
         }
         const { level, waitMs, workMs } = this.#options.expected(request.service, request.route);
         if (workMs !== undefined && waitMs + leastWork * workMs > request.leftMs) {
-            return this.#reject(request, `a wait of ${Math.round(waitMs)} ms is expected`);
+            return this.#reject(request, "wait", `a wait of ${Math.round(waitMs)} ms is expected`);
         }
         const rank = rankOf(request);
         if (level === undefined) {
             return request.utilization > shedUtilization + (maxRank - rank) * rankUtilization
-                ? this.#reject(request, `the service has ${request.utilization.toFixed(1)} requests for each slot`)
+                ? this.#reject(
+                    request,
+                    "utilization",
+                    `the service has ${request.utilization.toFixed(1)} requests for each slot`,
+                )
                 : { kind: "admit" };
         }
         const organisationLevel = this.#options.levelOf(request.organisation, level);
@@ -119,14 +144,15 @@
             ? { kind: "admit" }
             : {
                 kind: "reject",
+                cause: "share",
                 reason: `${Math.round(share * 100)} % of the organisation's requests of rank ${rank} are admitted`,
                 // The expected time until one of its chances is sufficient.
                 retryAfterMs: this.#spreadRetry(request, chanceMs / share),
             };
     }
 
-    #reject(request: AdmissionRequest, reason: string): AdmissionDecision {
-        return { kind: "reject", reason, retryAfterMs: this.retryAfterMs(request) };
+    #reject(request: AdmissionRequest, cause: RejectionCause, reason: string): AdmissionDecision {
+        return { kind: "reject", cause, reason, retryAfterMs: this.retryAfterMs(request) };
     }
 
     /** From 0 to 1; equal for a request and its immediate repetitions, at all instances. */
--- a/packages/gateway/src/lib/admission/fair-shares.ts
+++ b/packages/gateway/src/lib/admission/fair-shares.ts
@@ -56,6 +56,12 @@
         return Math.max(0, Math.log(demand.perSecond / granted));
     }
 
+    /** Share of each organisation's requests that is to be admitted. */
+    shares(level: number): ReadonlyMap<OrganisationId, number> {
+        this.#refresh();
+        return new Map([...this.#demands.keys()].map(id => [id, Math.exp(-this.levelOf(id, level))]));
+    }
+
     /** Requests per second for each unit of weight of the organisations that ask for more than their share. */
     #perWeight(level: number): number {
         let capacity = this.#ordered.reduce((sum, { perSecond }) => sum + perSecond, 0) * Math.exp(-level);
--- a/packages/gateway/src/lib/admission/service-pressures.ts
+++ b/packages/gateway/src/lib/admission/service-pressures.ts
@@ -21,6 +21,8 @@
     /** Mean age of the reports on the loads of other instances. */
     readonly reportAgeMs: () => number;
     readonly fleetSize: () => FleetSize;
+    /** Called after each review. */
+    readonly onReview: (service: ServiceId, pressure: Pick<ServicePressure, "level" | "waitMs">) => void;
 }
 
 /** What is expected of a request at its service. */
@@ -89,6 +91,11 @@
             : { level: pressure.level, waitMs: pressure.waitMs, workMs: this.#work.meanMs(service, route, serviceMs) };
     }
 
+    /** Highest level of a service. */
+    get highestLevel(): number {
+        return Math.max(0, ...[...this.#states.values()].map(({ pressure }) => pressure.level));
+    }
+
     /** Reviews all services; to be called every `pressureIntervalMs`. */
     review(): void {
         const sinceMs = this.#options.clock.monotonicMs() - idleMs;
@@ -115,6 +122,7 @@
             reportAgeMs: reportAgeMs(),
             targetWaitMs: this.#work.targetWaitMs(service),
         });
+        this.#options.onReview(service, pressure);
     }
 
     #of(service: ServiceId): ServiceState {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -64,22 +64,23 @@
         droppedLogLines: options.droppedLogLines,
         openedConnections: () => connections.openedCount,
         sentDatagramBytes: () => fleet.datagrams.sentBytes,
+        admissionLevel: () => requests.pressures.highestLevel,
     });
     const store = options.openStore((call, result) => metrics.recordStoreCall(call, result));
     const fleet = await createFleetComponents(options, { self, flags, store, onConfig: () => front.applyLimits() });
-    const { handler, review } = createRequestComponents(options, fleet, metrics, connections);
+    const requests = createRequestComponents(options, fleet, metrics, connections);
     const front = await CallerServer.open({
         clock,
         log,
         address: self.callerAddress,
         codec: headers,
         limits: () => fleet.config.current?.config.limits ?? defaultCallerLimits,
-        handle: received => handler.handle(received),
+        handle: received => requests.handler.handle(received),
         isLeaving: () => flags.isLeaving,
     });
     const auxiliaryServers = await openAuxiliaryServers(options, self, fleet, metrics);
     fleet.exchange.start();
-    const stopTimers = startTimers(options, fleet, connections, review);
+    const stopTimers = startTimers(options, fleet, connections, requests.review);
     log.event("start", {
         zone: self.zone,
         callers: self.callerAddress,
--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -16,6 +16,8 @@
     readonly droppedLogLines: () => number;
     readonly openedConnections: () => number;
     readonly sentDatagramBytes: () => number;
+    /** See `ServicePressures.highestLevel`. */
+    readonly admissionLevel: () => number;
 }
 
 /**
@@ -47,6 +49,12 @@
         labelNames: ["call", "result"],
         registers: [this.#registry],
     });
+    readonly #rejections = new Counter({
+        name: "sniperoad_admission_rejections_total",
+        help: "Requests that admission rejected by rank and cause",
+        labelNames: ["rank", "cause"],
+        registers: [this.#registry],
+    });
 
     constructor(sources: GaugeSources) {
         this.#gauge("sniperoad_config_version", "Version of the configuration in force", sources.configVersion);
@@ -62,6 +70,7 @@
         this.#gauge("sniperoad_log_lines_dropped", "Log lines lost to a slow reader", sources.droppedLogLines);
         this.#gauge("sniperoad_upstream_connections_opened", "Connections to upstreams", sources.openedConnections);
         this.#gauge("sniperoad_datagram_bytes_sent", "Bytes sent to other instances", sources.sentDatagramBytes);
+        this.#gauge("sniperoad_admission_level", "Highest pressure on a service", sources.admissionLevel);
     }
 
     /** Records a completed request; `route` is undefined if no route matched. */
@@ -75,6 +84,11 @@
         this.#storeCalls.inc({ call, result });
     }
 
+    /** Records a rejection by admission; see `RejectionCause`. */
+    recordRejection(rank: number, cause: string): void {
+        this.#rejections.inc({ rank: String(rank), cause });
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     text(): Promise<string> {
         return this.#registry.metrics();
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -1,5 +1,6 @@
 /** Creates the components that handle requests from callers. */
 import { createAdmissionComponents } from "./admission-components.js";
+import type { ServicePressures } from "./admission/service-pressures.js";
 import { RetryBudget } from "./balance/retry-budget.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
@@ -19,6 +20,7 @@
     readonly metrics: GatewayMetrics;
     /** Reviews the pressure on services; to be called every `pressureIntervalMs`. */
     readonly review: () => void;
+    readonly pressures: Pick<ServicePressures, "highestLevel">;
 }
 
 /** Creates the components that handle requests from callers. */
@@ -32,7 +34,7 @@
     const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters } = fleet;
     const paths = new PathBackoff(clock);
     const willing = new WillingUpstreams({ clock, random, statements, meters, reach: fleet.fleetSize });
-    const decisions = createAdmissionComponents(options, fleet, paths, willing);
+    const decisions = createAdmissionComponents(options, fleet, paths, willing, metrics);
     const { admission, pressures, utilization, answerTimes, serviceTimes } = decisions;
     const retryBudget = new RetryBudget(clock, () => {
         const { retryShare, retryBurst, retryWindowSeconds } = settings();
@@ -83,7 +85,7 @@
         unconfirmedReason: () => unconfirmedReason(settings(), state),
         onDone: (route, status, tookMs) => metrics.request(route?.id, status, tookMs),
     });
-    return { connections, handler, metrics, review: () => pressures.review() };
+    return { connections, handler, metrics, review: () => pressures.review(), pressures };
 };
 
 /**
--- a/packages/gateway/src/lib/request/request-handler.test.ts
+++ b/packages/gateway/src/lib/request/request-handler.test.ts
@@ -66,6 +66,7 @@
             random,
             shareWithin: () => undefined,
             levelOf: (_organisation, level) => level,
+            onReject: () => {},
             expected: () => ({ level: undefined, waitMs: 0, workMs: undefined }),
         }),
         onAdmissible: () => {},
--- a/packages/gateway/src/lib/testing/instance-decisions.ts
+++ b/packages/gateway/src/lib/testing/instance-decisions.ts
@@ -34,6 +34,7 @@
         clock,
         loadOf: serviceLoad,
         reportAgeMs,
+        onReview: () => {},
         fleetSize: () => ({ live: load.instances, known: load.instances }),
     });
     let counted = 0;
@@ -59,6 +60,7 @@
         shareWithin: (route, limitMs) => times.shareWithin(route, limitMs),
         expected: (of, route) => pressures.expected(of, route),
         levelOf: (organisation, level) => isFair ? fairShares.levelOf(organisation, level) : level,
+        onReject: () => {},
     });
     const requestOf = ({ route, organisation, deadlineAtMs, name }: SimulatedCall): AdmissionRequest => {
         const { inFlight, slots } = serviceLoad();
