--- a/packages/gateway/src/lib/admission/admission.ts
+++ b/packages/gateway/src/lib/admission/admission.ts
@@ -1,11 +1,27 @@
 /** Decides which requests are sent to upstreams, and when callers of the others may return. */
-import type { Random, RouteId } from "@sniperoad/core";
+import { hash32 } from "@sniperoad/core";
+import type { Clock, OrganisationId, Random, RouteId, ServiceId } from "@sniperoad/core";
+import type { ExpectedTimes } from "./service-pressures.js";
 
 /** Share of recent answers that must have been fast enough for the time that a request has left. */
 const minAnswerShare = 0.02;
 /**
- * Requests in flight per slot from which requests of the lowest rank are rejected: those that already wait at the
- * upstreams would be answered after their objective. More urgent ranks have more room, so they are served first.
+ * How much of the pressure on a service each rank bears. The most urgent requests are shed last, and none of the others
+ * altogether: a quarter of the most urgent ones that meet their objective is what the least urgent get in a burst.
+ */
+const rankWeights = [0.1, 1, 2, 2.5];
+/** Share of each rank that is admitted whatever the pressure, so that no route is starved. */
+const minShare = 0.03;
+/** Part of its mean work that a request needs at least; about one in ten takes less. */
+const leastWork = 0.5;
+/**
+ * Time for which the chance of a request stays the same. A caller that returns at once gets no further chance by it, and
+ * one that returns when it is told to gets a new one.
+ */
+const chanceMs = 500;
+/**
+ * Requests in flight per slot from which requests of the lowest rank are rejected while the service time is not known.
+ * More urgent ranks have more room, so they are served first.
  */
 const shedUtilization = 2.6;
 /** Room that each more urgent rank has in addition, in requests per slot. */
@@ -32,6 +48,10 @@
 /** A request for which a decision is due. */
 export interface AdmissionRequest {
     readonly route: RouteId;
+    readonly service: ServiceId;
+    readonly organisation: OrganisationId | undefined;
+    /** Text that is equal for equal requests of an organisation. */
+    readonly fingerprint: string;
     /** Latency up to which an answer has its full value. */
     readonly targetLatencyMs: number;
     /** Priority of the organisation, or of the route; 0 is the most urgent. */
@@ -42,21 +62,40 @@
     readonly utilization: number;
 }
 
+/**
+ * Why a request is rejected: no answer is possible in the time left, the expected wait is too long, the share of its rank
+ * and organisation is used up, or the service has too many requests while its service time is unknown.
+ */
+export type RejectionCause = "deadline" | "wait" | "share" | "utilization";
+
 /** A decision on a request. */
 export type AdmissionDecision =
     | { readonly kind: "admit"; }
-    | { readonly kind: "reject"; readonly reason: string; readonly retryAfterMs: number | undefined; };
+    | {
+        readonly kind: "reject";
+        readonly cause: RejectionCause;
+        readonly reason: string;
+        readonly retryAfterMs: number | undefined;
+    };
 
 /** What an {@link Admission} depends on. */
 export interface AdmissionOptions {
     readonly random: Random;
     /** Share of the recent answers of a route that took no longer than a limit; undefined if it is not known. */
     readonly shareWithin: (route: RouteId, limitMs: number) => number | undefined;
+    /** Expected wait and work, and the pressure on the service. */
+    readonly expected: (service: ServiceId, route: RouteId) => ExpectedTimes;
+    /** Pressure on an organisation; see `FairShares`. */
+    readonly levelOf: (organisation: OrganisationId | undefined, level: number) => number;
+    readonly clock: Clock;
+    readonly onReject: (rank: number, cause: RejectionCause) => void;
 }
 
 /**
  * Rejects requests that cannot be answered before their deadline, whatever the load. It answers for a service whose
- * requests exceed its slots by rejecting the least urgent ones first.
+ * requests exceed its capacity by admitting a share of each rank that follows from the pressure on the service, the
+ * least urgent ones first. Which of the requests of a rank are admitted is a matter of chance, as in DAGOR (Zhou et al.,
+ * "Overload Control for Scaling WeChat Microservices", 2018), so all instances together admit the share.
  *
  * @example
  * const decision = admission.decide(request);
@@ -69,22 +108,57 @@
     }
 
     decide(request: AdmissionRequest): AdmissionDecision {
+        const decision = this.#decide(request);
+        if (decision.kind === "reject") {
+            this.#options.onReject(rankOf(request), decision.cause);
+        }
+        return decision;
+    }
+
+    #decide(request: AdmissionRequest): AdmissionDecision {
         if (!this.hasHope(request, request.leftMs)) {
             return {
                 kind: "reject",
+                cause: "deadline",
                 reason: `no answer is possible within the ${Math.round(request.leftMs)} ms that are left`,
                 retryAfterMs: undefined,
             };
         }
-        const rank = Math.min(maxRank, Math.max(0, request.priority));
-        if (request.utilization > shedUtilization + (maxRank - rank) * rankUtilization) {
-            return {
+        const { level, waitMs, workMs } = this.#options.expected(request.service, request.route);
+        if (workMs !== undefined && waitMs + leastWork * workMs > request.leftMs) {
+            return this.#reject(request, "wait", `a wait of ${Math.round(waitMs)} ms is expected`);
+        }
+        const rank = rankOf(request);
+        if (level === undefined) {
+            return request.utilization > shedUtilization + (maxRank - rank) * rankUtilization
+                ? this.#reject(
+                    request,
+                    "utilization",
+                    `the service has ${request.utilization.toFixed(1)} requests for each slot`,
+                )
+                : { kind: "admit" };
+        }
+        const organisationLevel = this.#options.levelOf(request.organisation, level);
+        const share = Math.max(minShare, Math.exp(-organisationLevel * rankWeights[rank]!));
+        return this.#chance(request) < share
+            ? { kind: "admit" }
+            : {
                 kind: "reject",
-                reason: `the service has ${request.utilization.toFixed(1)} requests for each slot`,
-                retryAfterMs: this.retryAfterMs(request),
+                cause: "share",
+                reason: `${Math.round(share * 100)} % of the organisation's requests of rank ${rank} are admitted`,
+                // The expected time until one of its chances is sufficient.
+                retryAfterMs: this.#spreadRetry(request, chanceMs / share),
             };
-        }
-        return { kind: "admit" };
+    }
+
+    #reject(request: AdmissionRequest, cause: RejectionCause, reason: string): AdmissionDecision {
+        return { kind: "reject", cause, reason, retryAfterMs: this.retryAfterMs(request) };
+    }
+
+    /** From 0 to 1; equal for a request and its immediate repetitions, at all instances. */
+    #chance({ fingerprint }: AdmissionRequest): number {
+        const period = Math.floor(this.#options.clock.now().getTime() / chanceMs);
+        return hash32(`${fingerprint} ${period}`) / 2 ** 32;
     }
 
     /** Whether an answer is possible within a time. */
@@ -101,8 +175,8 @@
         if (closedForMs > request.leftMs * maxRetryShare) {
             return undefined;
         }
-        const { priority, utilization } = request;
-        const rank = Math.min(maxRank, Math.max(0, priority));
+        const { utilization } = request;
+        const rank = rankOf(request);
         const wantedMs = utilization < roomUtilization
             ? soonRetryMs
             : (baseRetryMs + rank * rankRetryMs) * Math.max(1, utilization);
@@ -122,3 +196,5 @@
         return this.hasHope(request, leftMs - delayMs) ? delayMs : undefined;
     }
 }
+
+const rankOf = ({ priority }: Pick<AdmissionRequest, "priority">): number => Math.min(maxRank, Math.max(0, priority));
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -92,6 +92,8 @@
     readonly outages: UpstreamOutages;
     readonly permits: WarmupPermits;
     readonly cold: ColdUpstreams;
+    /** Adds a function that is called with the requests of other instances that an upstream has ended. */
+    readonly onCompleted: (listener: (upstream: UpstreamId, count: number) => void) => void;
     /** Whether requests from callers are accepted. */
     readonly isReady: () => boolean;
     /** Monotonic time at which the process ends; undefined unless it is leaving. */
@@ -250,7 +252,17 @@
 /** State about upstreams, loads and rates, derived from the requests of all instances. */
 type Evidence = Pick<
     FleetComponents,
-    "gray" | "load" | "rates" | "retryBudget" | "floor" | "outcomes" | "crashes" | "statements" | "meters" | "outages"
+    | "gray"
+    | "load"
+    | "rates"
+    | "retryBudget"
+    | "floor"
+    | "outcomes"
+    | "crashes"
+    | "statements"
+    | "meters"
+    | "outages"
+    | "onCompleted"
 >;
 
 const createEvidence = (
@@ -268,8 +280,13 @@
         remoteInFlight: upstream => remoteLoads.inFlight(nameKey(upstream)),
         reach: fleetSize,
     });
-    const onRemote = (upstream: UpstreamId, count: number) => meters.recordRemote(upstream, count);
+    const listeners: ((upstream: UpstreamId, count: number) => void)[] = [];
+    const onRemote = (upstream: UpstreamId, count: number) => {
+        meters.recordRemote(upstream, count);
+        listeners.forEach(listener => listener(upstream, count));
+    };
     return {
+        onCompleted: listener => listeners.push(listener),
         gray,
         floor,
         meters,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,6 +1,7 @@
 /** Starts and stops an instance with its servers. */
 import { id, incarnationSeparator } from "@sniperoad/core";
 import type { InstanceId, Random } from "@sniperoad/core";
+import { pressureIntervalMs } from "./admission/service-pressure.js";
 import { errorMessage } from "./errors.js";
 import { Directory } from "./fleet/directory.js";
 import { createFleetComponents } from "./gateway-components.js";
@@ -66,22 +67,23 @@
         droppedLogLines: options.droppedLogLines,
         openedConnections: () => connections.openedCount,
         sentDatagramBytes: () => fleet.datagrams.sentBytes,
+        admissionLevel: () => requests.pressures.highestLevel,
     });
     const store = options.openStore((call, result) => metrics.recordStoreCall(call, result));
     const fleet = await createFleetComponents(options, { self, flags, store, onConfig: () => front.applyLimits() });
-    const { handler } = createRequestComponents(options, fleet, metrics, connections);
+    const requests = createRequestComponents(options, fleet, metrics, connections);
     const front = await CallerServer.open({
         clock,
         log,
         address: self.callerAddress,
         codec: headers,
         limits: () => fleet.config.current?.config.limits ?? defaultCallerLimits,
-        handle: received => handler.handle(received),
+        handle: received => requests.handler.handle(received),
         isLeaving: () => flags.isLeaving,
     });
     const auxiliaryServers = await openAuxiliaryServers(options, self, fleet, metrics);
     fleet.exchange.start();
-    const stopTimers = startTimers(options, fleet, connections);
+    const stopTimers = startTimers(options, fleet, connections, requests.review);
     log.event("start", {
         zone: self.zone,
         callers: self.callerAddress,
@@ -151,6 +153,7 @@
     { clock }: GatewayOptions,
     fleet: FleetComponents,
     connections: UpstreamConnectionPool,
+    reviewPressure: () => void,
 ): () => void => {
     const run = { isEnded: false };
     const every = (intervalMs: number, task: () => void): void => {
@@ -165,6 +168,7 @@
         fleet.state.review();
         fleet.records.review();
     });
+    every(pressureIntervalMs, reviewPressure);
     every(pruneIntervalMs, () => pruneState(fleet, connections));
     return () => {
         run.isEnded = true;
--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -19,6 +19,8 @@
     readonly droppedLogLines: () => number;
     readonly openedConnections: () => number;
     readonly sentDatagramBytes: () => number;
+    /** See `ServicePressures.highestLevel`. */
+    readonly admissionLevel: () => number;
 }
 
 /**
@@ -62,6 +64,12 @@
         labelNames: ["call", "result"],
         registers: [this.#registry],
     });
+    readonly #rejections = new Counter({
+        name: "sniperoad_admission_rejections_total",
+        help: "Requests that admission rejected by rank and cause",
+        labelNames: ["rank", "cause"],
+        registers: [this.#registry],
+    });
 
     constructor(sources: GaugeSources) {
         this.#gauge("sniperoad_config_version", "Version of the configuration in force", sources.configVersion);
@@ -79,6 +87,7 @@
         this.#gauge("sniperoad_log_lines_dropped", "Log lines lost to a slow reader", sources.droppedLogLines);
         this.#gauge("sniperoad_upstream_connections_opened", "Connections to upstreams", sources.openedConnections);
         this.#gauge("sniperoad_datagram_bytes_sent", "Bytes sent to other instances", sources.sentDatagramBytes);
+        this.#gauge("sniperoad_admission_level", "Highest pressure on a service", sources.admissionLevel);
     }
 
     /** Records a completed request; `route` is undefined if no route matched. */
@@ -100,6 +109,11 @@
         this.#hedgesDenied.inc({ reason });
     }
 
+    /** Records a rejection by admission; see `RejectionCause`. */
+    recordRejection(rank: number, cause: string): void {
+        this.#rejections.inc({ rank: String(rank), cause });
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     text(): Promise<string> {
         return this.#registry.metrics();
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -1,8 +1,6 @@
 /** Creates the components that handle requests from callers. */
-import type { RouteId, ServiceId } from "@sniperoad/core";
-import { Admission } from "./admission/admission.js";
-import { AnswerTimes } from "./admission/answer-times.js";
-import { utilizationOf } from "./admission/service-load.js";
+import { createAdmissionComponents } from "./admission-components.js";
+import type { ServicePressures } from "./admission/service-pressures.js";
 import { Hedging } from "./balance/hedging.js";
 import type { HedgingOptions } from "./balance/hedging.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
@@ -22,6 +20,9 @@
     readonly connections: UpstreamConnectionPool;
     readonly handler: RequestHandler;
     readonly metrics: GatewayMetrics;
+    /** Reviews the pressure on services; to be called every `pressureIntervalMs`. */
+    readonly review: () => void;
+    readonly pressures: Pick<ServicePressures, "highestLevel">;
 }
 
 /** Creates the components that handle requests from callers. */
@@ -36,21 +37,9 @@
         fleet;
     const { evacuations, outages, cold, fleetSize: reach } = fleet;
     const paths = new PathBackoff(clock);
-    const answerTimes = new AnswerTimes<RouteId>(clock);
-    const serviceTimes = new AnswerTimes<ServiceId>(clock);
-    const admission = new Admission({
-        random,
-        shareWithin: (route, limitMs) => answerTimes.shareWithin(route, limitMs),
-    });
     const willing = new WillingUpstreams({ clock, random, statements, meters, cold, reach, evacuations });
-    const utilization = (service: ServiceId): number =>
-        utilizationOf(willing.accepting(upstreams.forService(service)), {
-            inFlight: upstream => load.inFlight(upstream),
-            grayProbability: upstream => gray.probability(upstream),
-            isBackingOff: upstream => paths.isBackingOff(upstream),
-            limitPerSecond: listed => willing.limitOf(listed),
-            answerTimeMs: serviceTimes.quantile(service, 0.5),
-        }, clock);
+    const decisions = createAdmissionComponents(options, fleet, paths, willing, metrics);
+    const { admission, pressures, utilization, answerTimes, serviceTimes } = decisions;
     const hasHope = ({ id, targetLatencyMs }: Pick<GatewayRoute, "id" | "targetLatencyMs">, leftMs: number): boolean =>
         admission.hasHope({ route: id, targetLatencyMs }, leftMs);
     const dispatcher = new UpstreamDispatcher({
@@ -78,6 +67,7 @@
         onAnswer: ({ route, service }, tookMs) => {
             answerTimes.record(route.id, tookMs);
             serviceTimes.record(service, tookMs);
+            pressures.recordAnswer(service, route.id, tookMs);
         },
     });
     const handler = new RequestHandler({
@@ -91,6 +81,7 @@
         crashes,
         dispatcher,
         admission,
+        onAdmissible: (service, { id, targetLatencyMs }) => pressures.recordRequest(service, id, targetLatencyMs),
         utilization,
         acceptingInMs: service => willing.acceptingInMs(upstreams.forService(service)),
         codec: headers,
@@ -100,7 +91,7 @@
         unconfirmedReason: () => unconfirmedReason(settings(), state),
         onDone: (route, status, tookMs) => metrics.request(route?.id, status, tookMs),
     });
-    return { connections, handler, metrics };
+    return { connections, handler, metrics, review: () => pressures.review(), pressures };
 };
 
 const createHedging = (
