Avoid single upstreams that reject requests while they have room

An upstream that rejects at once has few requests in flight, so it got as many requests as the others or more, and its rejections left no trace. A rejection at low load now counts like a missing response, unless a large part of the service's requests is rejected: then no upstream is better than another, and none is avoided.

Where all reject, the choices are the same as before.

--- a/packages/gateway/src/lib/balance/hedging-service.fixture.ts
+++ b/packages/gateway/src/lib/balance/hedging-service.fixture.ts
@@ -4,6 +4,7 @@
 import { seededRandom, VirtualClock } from "@sniperoad/core/testing";
 import { GrayFailureEstimator } from "../health/gray-failure-estimator.js";
 import { PathBackoff } from "../health/path-backoff.js";
+import { RejectionMonitor } from "../health/rejection-monitor.js";
 import { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { GatewayRoute } from "../model.js";
 import { nameKey } from "../name-key.js";
@@ -26,8 +27,8 @@
 /** Time until other instances know of a failure, and of ordinary successes and loads. */
 const reportMs = { failure: 60, other: 300 };
 
-/** How upstreams fail: in gray periods, or a few that are always slow. */
-export type Trouble = "gray" | "slow" | "none";
+/** How upstreams fail: in gray periods, a few that are always slow, or those that reject 0.55 of their arrivals. */
+export type Trouble = "gray" | "slow" | "one-rejects" | "all-reject" | "none";
 
 /** A simulated minute. */
 export interface HedgingTrial {
@@ -38,6 +39,8 @@
     /** Fraction of the objective after which requests are hedged, instead of the observed quantile. */
     readonly fixedDelay?: number;
     readonly targetLatencyMs?: number;
+    /** Whether rejections never count against an upstream. */
+    readonly isRejectionIgnored?: boolean;
     readonly seed?: number;
 }
 
@@ -50,6 +53,8 @@
     readonly hedged: number;
     /** Time for which slots were in use. */
     readonly workMs: number;
+    /** Attempts that reached each upstream. */
+    readonly arrivals: readonly number[];
 }
 
 const grayPeriodMs = 3_000;
@@ -58,6 +63,7 @@
 /** Upstreams that run requests in their slots, in the order of arrival. */
 class SimulatedService {
     workMs = 0;
+    readonly arrivals = new Map<UpstreamId, number>();
     readonly candidates = Array.from({ length: upstreamCount }, (_, index) => knownUpstream(`u${index}`, { slots }));
     readonly #clock: VirtualClock;
     readonly #random: () => number;
@@ -85,6 +91,11 @@
     }
 
     call({ upstream, signal, timeoutMs: limitMs }: UpstreamRequest): Promise<UpstreamResult> {
+        this.arrivals.set(upstream.id, (this.arrivals.get(upstream.id) ?? 0) + 1);
+        const isRejecting = this.#trouble === "all-reject" || this.#trouble === "one-rejects" && upstream.id === "u0";
+        if (isRejecting && this.#random() < 0.55) {
+            return new Promise(resolve => this.#clock.after(2, () => resolve(responded(503, true))));
+        }
         return new Promise(resolve => {
             const state = { hasStarted: false, isEnded: false, startedMs: 0 };
             const end = (result: UpstreamResult): void => {
@@ -138,7 +149,7 @@
     }
 }
 
-const responded = (status: number): UpstreamResult => ({
+const responded = (status: number, isNotRun = false): UpstreamResult => ({
     kind: "answer",
     answer: {
         status,
@@ -146,7 +157,7 @@
         body: new Uint8Array(0),
         metadata: {
             requestId: undefined,
-            isNotRun: false,
+            isNotRun,
             isMisdirected: false,
             isFromUpstream: true,
             isEncoded: false,
@@ -155,6 +166,9 @@
     },
 });
 
+const capacityPerMs = upstreamCount * slots / meanWorkMs;
+const utilizationOf = ({ utilization = 0.3 }: HedgingTrial): number => utilization;
+
 const routeOf = (targetLatencyMs: number): GatewayRoute =>
     testRoute({
         id: id<RouteId>("r-1"),
@@ -175,6 +189,7 @@
         loads: Map<number, number>[];
     }>,
     share: (index: number, outcomes: SharedOutcomes) => void,
+    rejectionsOfOthers: (index: number) => number,
 ) => {
     const gray = new GrayFailureEstimator(clock);
     const paths = new PathBackoff(clock);
@@ -196,6 +211,12 @@
     });
     const retryBudget = aloneBudget(clock, { share: 0.2, burst: 168 / instanceCount, windowMs: 10_000 });
     const counts = { hedged: 0 };
+    const rejections = new RejectionMonitor({
+        clock,
+        usage: () => ({ admitted: rejectionsOfOthers(index), offered: 0 }),
+        requestsPerSecond: () => trial.isRejectionIgnored ? 0 : utilizationOf(trial) * capacityPerMs * 1_000,
+        outcomes,
+    });
     const hedging = new Hedging({
         clock,
         random,
@@ -218,6 +239,7 @@
         floor,
         meters: { recordOwn: () => {} },
         statements: { recordAnswer: () => {} },
+        rejections,
         retryBudget,
         candidates: () => service.candidates,
         crashes: new CrashTracker({ clock, ownKey: index, upstreamsOf, announce: () => {} }),
@@ -228,12 +250,12 @@
         answerTimeMs: () => meanWorkMs * 0.6,
         onAnswer: () => {},
     });
-    return { dispatcher, retryBudget, outcomes, load, counts };
+    return { dispatcher, retryBudget, outcomes, load, counts, rejections };
 };
 
 /** Plays a minute and returns what callers and upstreams saw. */
 export const playHedging = async (trial: HedgingTrial): Promise<HedgingResult> => {
-    const { trouble, utilization = 0.3, seed = 1, targetLatencyMs = 404 } = trial;
+    const { trouble, seed = 1, targetLatencyMs = 404 } = trial;
     const route = routeOf(targetLatencyMs);
     const clock = new VirtualClock();
     const random = seededRandom(seed);
@@ -252,7 +274,13 @@
         });
         loads[from] = new Map(instances[from]!.load.report().map(entry => [nameKey(entry.upstream), entry.count]));
     };
-    const instances = loads.map((_, index) => createInstance(index, { trial, clock, random, service, loads }, share));
+    const rejectionsOfOthers = (own: number): number =>
+        instances.filter((_, index) => index !== own)
+            .flatMap(({ rejections }) => rejections.report())
+            .reduce((sum, { admitted }) => sum + admitted, 0);
+    const instances = loads.map((_, index) =>
+        createInstance(index, { trial, clock, random, service, loads }, share, rejectionsOfOthers)
+    );
     const tookMs: number[] = [];
     const request = async (): Promise<void> => {
         const { dispatcher, retryBudget } = instances[Math.floor(random() * instanceCount)]!;
@@ -261,7 +289,7 @@
         const result = await dispatcher.run(dispatchedAt(startMs, route));
         tookMs.push(result.kind === "answer" && !result.isFailure ? clock.monotonicMs() - startMs : Infinity);
     };
-    const perMs = utilization * upstreamCount * slots / meanWorkMs;
+    const perMs = utilizationOf(trial) * capacityPerMs;
     for (let nowMs = 0; nowMs < durationMs; nowMs += 5) {
         service.turnGray(5);
         instances.forEach(({ outcomes }, index) =>
@@ -284,6 +312,7 @@
         p999Ms: quantile(0.999),
         hedged: instances.reduce((sum, { counts }) => sum + counts.hedged, 0),
         workMs: Math.round(service.workMs),
+        arrivals: service.candidates.map(({ listed }) => service.arrivals.get(listed.id) ?? 0),
     };
 };
 
--- a/packages/gateway/src/lib/balance/retry-budget.ts
+++ b/packages/gateway/src/lib/balance/retry-budget.ts
@@ -113,6 +113,11 @@
         account.fleet.addRequests(1);
     }
 
+    /** Requests of a service from all instances, per second over the window. */
+    requestsPerSecond(service: ServiceId): number {
+        return this.#account(service).fleet.requests() / this.#setup.limits().windowMs * 1_000;
+    }
+
     /** Whether an extra attempt is likely to be available to a request of a rank; 0 is the most urgent one. */
     hasCredit(service: ServiceId, rank: number): boolean {
         return this.#chance(this.#account(service), rank) >= reliableChance;
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -11,6 +11,7 @@
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
 import { GrayFailureEstimator } from "./health/gray-failure-estimator.js";
+import { RejectionMonitor } from "./health/rejection-monitor.js";
 import { SharedOutcomes } from "./health/shared-outcomes.js";
 import { UpstreamFloor } from "./health/upstream-floor.js";
 import type { GatewayInstance } from "./model.js";
@@ -77,6 +78,7 @@
     readonly load: FleetLoad;
     readonly rates: FleetRateLimiter;
     readonly retryBudget: RetryBudget;
+    readonly rejections: RejectionMonitor;
     readonly floor: UpstreamFloor;
     readonly outcomes: SharedOutcomes;
     readonly crashes: CrashTracker;
@@ -123,7 +125,7 @@
         fleetSize,
         shareStatements: heard => exchange.sendToAll({ kind: "statements", statements: heard }),
     });
-    const { outcomes, crashes, rates, retryBudget, load, statements } = evidence;
+    const { outcomes, crashes, rates, retryBudget, rejections, load, statements } = evidence;
     const endsAtMs = (): number | undefined => flags.endsAtMs;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const common = { self, clock, random, sha256, log, roster };
@@ -151,7 +153,7 @@
             isReady: isReady(),
             isLeaving: flags.isLeaving,
             ...state.collectionStates(),
-            ...joinUsage(retryBudget.take(), rates.take()),
+            ...joinUsage(retryBudget.take(), rates.take(), rejections.report()),
             inFlight: load.report(),
             ...outcomes.take(),
             crashes: crashes.report(),
@@ -202,8 +204,12 @@
 /** What a heartbeat reports of rates and retry budgets. */
 type ReportedUsage = Pick<Heartbeat, "usage" | "hasScarceUsage">;
 
-const joinUsage = (first: ReportedUsage, second: ReportedUsage): ReportedUsage => ({
-    usage: [...first.usage, ...second.usage],
+const joinUsage = (
+    first: ReportedUsage,
+    second: ReportedUsage,
+    rejections: ReportedUsage["usage"],
+): ReportedUsage => ({
+    usage: [...first.usage, ...rejections, ...second.usage],
     hasScarceUsage: first.hasScarceUsage || second.hasScarceUsage,
 });
 
@@ -217,7 +223,16 @@
 /** State about upstreams, loads and rates, derived from the requests of all instances. */
 type Evidence = Pick<
     FleetComponents,
-    "gray" | "load" | "rates" | "retryBudget" | "floor" | "outcomes" | "crashes" | "statements" | "meters"
+    | "gray"
+    | "load"
+    | "rates"
+    | "retryBudget"
+    | "rejections"
+    | "floor"
+    | "outcomes"
+    | "crashes"
+    | "statements"
+    | "meters"
 >;
 
 const createEvidence = (
@@ -234,7 +249,22 @@
         remoteInFlight: upstream => remoteLoads.inFlight(nameKey(upstream)),
         reach: fleetSize,
     });
-    const onRemote = (upstream: UpstreamId, count: number) => meters.recordRemote(upstream, count);
+    const outcomes = new SharedOutcomes({
+        clock,
+        gray,
+        floor,
+        ownKey,
+        upstreamsOf,
+        announce,
+        onRemote: (upstream, count) => meters.recordRemote(upstream, count),
+    });
+    const retryBudget = new RetryBudget({
+        clock,
+        random,
+        limits: () => retryOptions(settings()),
+        remote: remoteRates,
+        reach: fleetSize,
+    });
     return {
         gray,
         floor,
@@ -248,14 +278,14 @@
         }),
         load: new FleetLoad(onLoad, remoteLoads),
         rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
-        retryBudget: new RetryBudget({
+        retryBudget,
+        rejections: new RejectionMonitor({
             clock,
-            random,
-            limits: () => retryOptions(settings()),
-            remote: remoteRates,
-            reach: fleetSize,
+            usage: remoteRates.usage,
+            requestsPerSecond: service => retryBudget.requestsPerSecond(service),
+            outcomes,
         }),
-        outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce, onRemote }),
+        outcomes,
         crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
     };
 };
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -32,8 +32,8 @@
     connections: UpstreamConnectionPool,
 ): RequestComponents => {
     const { clock, random, log, sha256, headers, settings } = options;
-    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters, retryBudget } =
-        fleet;
+    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters } = fleet;
+    const { retryBudget, rejections } = fleet;
     const paths = new PathBackoff(clock);
     const answerTimes = new AnswerTimes<RouteId>(clock);
     const serviceTimes = new AnswerTimes<ServiceId>(clock);
@@ -61,6 +61,7 @@
         load,
         paths,
         outcomes,
+        rejections,
         floor,
         retryBudget,
         meters,
--- a/packages/gateway/src/lib/request/attempt-evaluator.ts
+++ b/packages/gateway/src/lib/request/attempt-evaluator.ts
@@ -1,7 +1,9 @@
 /** Evaluates the results of attempts, and records what they show about the upstreams. */
 import type { LogPort } from "@sniperoad/core";
 import { match } from "ts-pattern";
+import type { Selection } from "../balance/upstream-selector.js";
 import type { PathBackoff } from "../health/path-backoff.js";
+import type { RejectionMonitor } from "../health/rejection-monitor.js";
 import type { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { ListedUpstream } from "../model.js";
 import type { UpstreamStatements } from "../statements/upstream-statements.js";
@@ -16,6 +18,7 @@
     readonly paths: PathBackoff;
     readonly outcomes: SharedOutcomes;
     readonly statements: Pick<UpstreamStatements, "recordAnswer">;
+    readonly rejections: Pick<RejectionMonitor, "recordRejection">;
     readonly crashes: CrashTracker;
 }
 
@@ -24,7 +27,7 @@
  * statements and whether it crashed.
  *
  * @example
- * const outcome = evaluator.evaluate(result, dispatched, listed);
+ * const outcome = evaluator.evaluate(result, dispatched, selection);
  */
 export class AttemptEvaluator {
     readonly #options: AttemptEvaluatorOptions;
@@ -34,14 +37,15 @@
     }
 
     /** Evaluates the result of an attempt, and records what it shows about the upstream. */
-    evaluate(result: UpstreamResult, dispatched: DispatchedRequest, listed: ListedUpstream): DispatchResult {
+    evaluate(result: UpstreamResult, dispatched: DispatchedRequest, selection: Selection): DispatchResult {
+        const { listed } = selection.upstream;
         const upstream = listed.id;
         const { paths } = this.#options;
         return match(result)
             .with({ kind: "answer" }, ({ answer }): DispatchResult => {
                 paths.recordSuccess(upstream);
                 this.#options.crashes.clear(dispatched.fingerprint);
-                return this.#evaluateResponse(answer, listed);
+                return this.#evaluateResponse(answer, selection);
             })
             .with({ kind: "refused" }, ({ reason }): DispatchResult => {
                 this.#recordPathFailure(listed);
@@ -81,8 +85,9 @@
         }
     }
 
-    #evaluateResponse(answer: UpstreamResponse, listed: ListedUpstream): DispatchResult {
-        const { outcomes, paths, statements } = this.#options;
+    #evaluateResponse(answer: UpstreamResponse, selection: Selection): DispatchResult {
+        const { outcomes, paths, statements, rejections } = this.#options;
+        const { listed } = selection.upstream;
         const upstream = listed.id;
         if (answer.metadata.isMisdirected) {
             paths.recordFailure(upstream);
@@ -95,6 +100,11 @@
             }
         }
         if (answer.metadata.isNotRun) {
+            const { isLeaving, limitPerSecond, retryAfterMs } = answer.metadata.statement;
+            // An upstream that states why it rejects is treated by its statement.
+            if (!isLeaving && limitPerSecond === undefined && retryAfterMs === undefined) {
+                rejections.recordRejection(selection.upstream, selection.inFlight);
+            }
             return { kind: "not-run", reason: `the upstream refused it with ${answer.status}` };
         }
         if (!answer.metadata.isFromUpstream && answer.status < 500) {
--- a/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
@@ -101,6 +101,7 @@
         floor,
         meters: { recordOwn: upstream => void sent.push(upstream) },
         statements: { recordAnswer: (listed, statement) => void stated.push([listed.id, statement.limitPerSecond]) },
+        rejections: { recordRejection: () => {} },
         retryBudget,
         candidates: () => ["u1", "u2", "u3"].map(name => knownUpstream(name)),
         crashes,
--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -5,6 +5,7 @@
 import type { RetryBudget } from "../balance/retry-budget.js";
 import type { Selection, UpstreamSelector } from "../balance/upstream-selector.js";
 import type { PathBackoff } from "../health/path-backoff.js";
+import type { RejectionMonitor } from "../health/rejection-monitor.js";
 import type { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { UpstreamFloor } from "../health/upstream-floor.js";
 import type { GatewayRoute } from "../model.js";
@@ -41,6 +42,7 @@
     readonly floor: Pick<UpstreamFloor, "recordUse">;
     readonly meters: Pick<LimitMeters, "recordOwn">;
     readonly statements: Pick<UpstreamStatements, "recordAnswer">;
+    readonly rejections: Pick<RejectionMonitor, "recordRejection">;
     readonly retryBudget: RetryBudget;
     /** Upstreams of a service that may get one more request now. */
     readonly candidates: (service: ServiceId) => readonly KnownUpstream[];
@@ -244,7 +246,7 @@
             progress.sent--;
             progress.failedConnections++;
         }
-        const outcome = this.#evaluator.evaluate(result, dispatched, listed);
+        const outcome = this.#evaluator.evaluate(result, dispatched, selection);
         const tookMs = clock.monotonicMs() - startMs;
         const isLoser = outcome.kind === "cancelled" && !dispatched.signal.aborted;
         if (outcome.kind === "answer" && !outcome.isFailure) {
