Keep long and short requests of a service on different upstreams

A request of 93 ms that waits behind one of 585 ms misses its objective, and reported loads are too old to find an upstream without one. Where routes of a service differ that much, each kind now prefers its part of the upstreams, in an order that is the same at all instances.

--- a/packages/gateway/src/lib/balance/hedging-service.fixture.ts
+++ b/packages/gateway/src/lib/balance/hedging-service.fixture.ts
@@ -247,6 +247,7 @@
         hedging: fixedDelay === undefined
             ? hedging
             : Object.assign(hedging, { delayMs: (route: GatewayRoute) => route.targetLatencyMs * fixedDelay }),
+        avoided: () => new Set(),
         answerTimeMs: () => meanWorkMs * 0.6,
         onAnswer: () => {},
     });
--- a/packages/gateway/src/lib/balance/upstream-selector.ts
+++ b/packages/gateway/src/lib/balance/upstream-selector.ts
@@ -15,6 +15,11 @@
 const queueCost = 0.35;
 /** Cost of an upstream whose slots are all in use; it spreads requests and leaves room for simultaneous arrivals. */
 const utilizationCost = 0.08;
+/**
+ * Cost of an upstream that is left to requests of other routes, see `RouteSeparation`. It is less than that of a request
+ * that waits, so neither kind waits while the others have room.
+ */
+const avoidedCost = 0.1;
 /** Cost of traffic to another zone: the price of about 7 KB, relative to the value of a request. */
 const crossZoneCost = 0.035;
 /**
@@ -43,6 +48,8 @@
     readonly isRepeatable: boolean;
     /** Lower quartile of the time from the dispatch of a request of the service to its answer. */
     readonly answerTimeMs: number;
+    /** Upstreams that are left to requests of other routes while there are others; none by default. */
+    readonly avoided?: ReadonlySet<UpstreamId>;
 }
 
 /** A selected upstream, with inputs of the selection for the log. */
@@ -67,14 +74,15 @@
     }
 
     /** Returns undefined if every candidate was tried. */
-    select({ candidates, tried, isRepeatable, answerTimeMs }: SelectionRequest): Selection | undefined {
+    select(request: SelectionRequest): Selection | undefined {
+        const { candidates, tried, isRepeatable } = request;
         const { paths, floor, gray, load } = this.#options;
         const untried = candidates.filter(({ listed }) => !tried.has(listed.id));
         const reachable = untried.filter(({ listed }) => !paths.isBackingOff(listed.id));
         // If all upstreams are in backoff, trying one is better than refusing the request.
         const pool = reachable.length > 0 ? reachable : untried;
         const upstream = floor.pick({ candidates: pool, isRepeatable, grayProbability: id => gray.probability(id) })
-            ?? this.#sample(pool, isRepeatable, answerTimeMs);
+            ?? this.#sample(pool, request);
         if (upstream === undefined) {
             return undefined;
         }
@@ -99,12 +107,13 @@
 
     #sample(
         pool: readonly KnownUpstream[],
-        isRepeatable: boolean,
-        answerTimeMs: number,
+        { isRepeatable, answerTimeMs, avoided }: SelectionRequest,
     ): KnownUpstream | undefined {
         const { load, clock } = this.#options;
         const inFlight = load.expected(pool.map(({ listed }) => listed), clock.monotonicMs(), answerTimeMs);
-        const costs = pool.map((upstream, index) => this.#cost(upstream, inFlight[index]!, isRepeatable));
+        const costs = pool.map((upstream, index) =>
+            this.#cost(upstream, inFlight[index]!, isRepeatable) + (avoided?.has(upstream.listed.id) ? avoidedCost : 0)
+        );
         const index = this.#sampleIndex(costs);
         return index === undefined ? undefined : pool[index];
     }
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -5,6 +5,7 @@
 import { utilizationOf } from "./admission/service-load.js";
 import { Hedging } from "./balance/hedging.js";
 import type { HedgingOptions } from "./balance/hedging.js";
+import { RouteSeparation } from "./balance/route-separation.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
 import { PathBackoff } from "./health/path-backoff.js";
@@ -50,6 +51,7 @@
             limitPerSecond: listed => statements.limitOf(listed),
             answerTimeMs: serviceTimes.quantile(service, 0.5),
         }, clock);
+    const separation = new RouteSeparation(clock);
     const hasHope = ({ id, targetLatencyMs }: Pick<GatewayRoute, "id" | "targetLatencyMs">, leftMs: number): boolean =>
         admission.hasHope({ route: id, targetLatencyMs }, leftMs);
     const dispatcher = new UpstreamDispatcher({
@@ -74,7 +76,9 @@
             hasRoom: service => utilization(service) < 1,
         }),
         answerTimeMs: service => serviceTimes.quantile(service, 0.25),
+        avoided: ({ service, route }, candidates) => separation.avoidedFor(service, route, candidates),
         onAnswer: ({ route, service }, tookMs) => {
+            separation.recordAnswer(service, route, tookMs);
             answerTimes.record(route.id, tookMs);
             serviceTimes.record(service, tookMs);
         },
--- a/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
@@ -107,6 +107,7 @@
         crashes,
         hasHope: (_route, leftMs) => leftMs > 0,
         hedging: hedgingWith(clock, retryBudget),
+        avoided: () => new Set(),
         answerTimeMs: () => undefined,
         onAnswer: () => {},
     });
--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -50,6 +50,11 @@
     /** Whether an answer is possible within a time. */
     readonly hasHope: (route: GatewayRoute, leftMs: number) => boolean;
     readonly hedging: Hedging;
+    /** Upstreams that a request should leave to those of other routes. */
+    readonly avoided: (
+        dispatched: DispatchedRequest,
+        candidates: readonly KnownUpstream[],
+    ) => ReadonlySet<UpstreamId>;
     /** Lower quartile of the answer times of a service; undefined if it is not known. */
     readonly answerTimeMs: (service: ServiceId) => number | undefined;
     /** Called with the time of each successful attempt. */
@@ -180,8 +185,10 @@
 
     /** Selects the upstream of the next attempt; undefined if every candidate was tried. */
     #select({ dispatched, tried }: Progress, mayProbe = true): Selection | undefined {
+        const candidates = this.#options.candidates(dispatched.service);
         return this.#options.selector.select({
-            candidates: this.#options.candidates(dispatched.service),
+            candidates,
+            avoided: this.#options.avoided(dispatched, candidates),
             tried,
             // Without retry budget a failure is final, so the request must not go to an upstream that may be gray.
             isRepeatable: mayProbe
