--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -10,7 +10,8 @@
 import type { Heartbeat } from "./fleet/heartbeat.js";
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
-import { GrayFailureEstimator } from "./health/gray-failure-estimator.js";
+import { defaultGrayFailureModel, GrayFailureEstimator } from "./health/gray-failure-estimator.js";
+import { GrayModelLearner } from "./health/gray-model-learner.js";
 import { RejectionMonitor } from "./health/rejection-monitor.js";
 import { SharedOutcomes } from "./health/shared-outcomes.js";
 import { UpstreamFloor } from "./health/upstream-floor.js";
@@ -240,7 +241,12 @@
     upstreams: UpstreamRegistry,
     { ownKey, announce, onLoad, remoteLoads, remoteRates, shareStatements, fleetSize }: EvidenceSetup,
 ): Evidence => {
-    const gray = new GrayFailureEstimator(clock);
+    const learner = new GrayModelLearner(
+        clock,
+        defaultGrayFailureModel,
+        model => log.event("gray-model-changed", { ...model }),
+    );
+    const gray = new GrayFailureEstimator(clock, learner);
     const serviceOf = (upstream: UpstreamId) => upstreams.get(upstream)?.listed.service;
     const upstreamsOf = (key: number) => upstreams.idsOf(key);
     const floor = new UpstreamFloor({ clock, random, floorShare: () => settings().floorShare, serviceOf });
--- a/packages/gateway/src/lib/health/gray-failure-estimator.ts
+++ b/packages/gateway/src/lib/health/gray-failure-estimator.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, UpstreamId } from "@sniperoad/core";
 
-/** Assumed failure behaviour of upstreams; the parameters of {@link GrayFailureEstimator}. */
+/** Failure behaviour of upstreams; the parameters of {@link GrayFailureEstimator}. */
 export interface GrayFailureModel {
     /** Rate at which a healthy upstream turns gray. */
     readonly onsetPerSecond: number;
@@ -18,8 +18,16 @@
     readonly silenceLikelihoodRatio: number;
 }
 
+/** Learns the model from the outcomes; see `GrayModelLearner`. */
+export interface GrayModelSource {
+    readonly model: GrayFailureModel;
+    record(upstream: UpstreamId, isFailure: boolean): void;
+    recordSilence(upstream: UpstreamId): void;
+    forget(upstream: UpstreamId): void;
+}
+
 /**
- * Upstreams are gray for almost a third of the time, in periods of about 3 s. A gray upstream fails three of four
+ * Where the model starts, and remains unless it is learned. Upstreams are gray for almost a third of the time, in periods of about 3 s. A gray upstream fails three of four
  * requests, a healthy one 1.2%. Two silences (likelihood ratio 6 each) weigh about half as much as one failure (62.5).
  */
 export const defaultGrayFailureModel: GrayFailureModel = {
@@ -30,6 +38,14 @@
     silenceLikelihoodRatio: 6,
 };
 
+/** A model that does not change. */
+const fixedModel: GrayModelSource = {
+    model: defaultGrayFailureModel,
+    record: () => {},
+    recordSilence: () => {},
+    forget: () => {},
+};
+
 interface Estimate {
     probability: number;
     atMs: number;
@@ -46,12 +62,12 @@
  */
 export class GrayFailureEstimator {
     readonly #clock: Clock;
-    readonly #model: GrayFailureModel;
+    readonly #source: GrayModelSource;
     readonly #estimates = new Map<UpstreamId, Estimate>();
 
-    constructor(clock: Clock, model: GrayFailureModel = defaultGrayFailureModel) {
+    constructor(clock: Clock, source: GrayModelSource = fixedModel) {
         this.#clock = clock;
-        this.#model = model;
+        this.#source = source;
     }
 
     /** From 0 (healthy) to 1 (gray). */
@@ -60,30 +76,32 @@
     }
 
     recordSuccess(upstream: UpstreamId): void {
-        const { grayFailureShare, healthyFailureShare } = this.#model;
+        const { grayFailureShare, healthyFailureShare } = this.#source.model;
+        this.#source.record(upstream, false);
         this.#update(upstream, (1 - grayFailureShare) / (1 - healthyFailureShare));
     }
 
     recordFailure(upstream: UpstreamId): void {
-        const { grayFailureShare, healthyFailureShare } = this.#model;
+        const { grayFailureShare, healthyFailureShare } = this.#source.model;
+        this.#source.record(upstream, true);
         this.#update(upstream, grayFailureShare / healthyFailureShare);
     }
 
     /** Records a missing response. One may be due to the network path of one instance; two are strong evidence. */
     recordSilence(upstream: UpstreamId): void {
-        this.#update(upstream, this.#model.silenceLikelihoodRatio);
+        this.#source.recordSilence(upstream);
+        this.#update(upstream, this.#source.model.silenceLikelihoodRatio);
     }
 
     /** Discards the estimate of an upstream, as after a restart of its process. */
     reset(upstream: UpstreamId): void {
         this.#estimates.delete(upstream);
+        this.#source.forget(upstream);
     }
 
     /** Removes upstreams that are no longer listed. */
     retain(isListed: (upstream: UpstreamId) => boolean): void {
-        [...this.#estimates.keys()].filter(upstream => !isListed(upstream)).forEach(upstream =>
-            this.#estimates.delete(upstream)
-        );
+        [...this.#estimates.keys()].filter(upstream => !isListed(upstream)).forEach(upstream => this.reset(upstream));
     }
 
     #update(upstream: UpstreamId, likelihoodRatio: number): void {
@@ -95,7 +113,7 @@
     }
 
     #currentEstimate(upstream: UpstreamId): Estimate {
-        const { onsetPerSecond, recoveryPerSecond } = this.#model;
+        const { onsetPerSecond, recoveryPerSecond } = this.#source.model;
         const rate = onsetPerSecond + recoveryPerSecond;
         const stationary = onsetPerSecond / rate;
         const nowMs = this.#clock.monotonicMs();
