Move the components that count attempts to a file of their own, test their reports over the exchange

The new test sends the counts through heartbeats and digests of six instances: all know the same requests, and two of them make 8 to 12 of the fleet's 12 extra attempts, not 2 each.

--- a/packages/gateway/src/lib/balance/retry-budget.test.ts
+++ b/packages/gateway/src/lib/balance/retry-budget.test.ts
@@ -1,10 +1,11 @@
 import { VirtualClock } from "@sniperoad/core/testing";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { aloneBudget, reportsService } from "../testing/index.js";
+import { aloneBudget, reportsService, TestFleet } from "../testing/index.js";
 import { AttemptWindow } from "./attempt-window.js";
 import { play, share, windowMs, zoneCount } from "./retry-budget-fleet.fixture.js";
 import type { Day, DayResult } from "./retry-budget-fleet.fixture.js";
+import { RetryBudget } from "./retry-budget.js";
 
 const smallBudget = { share, burst: 62, windowMs };
 
@@ -58,6 +59,40 @@
     assert.is(window.attempts(), 0);
 });
 
+// Guards against counts that heartbeats or digests lose, or that an instance counts for itself twice.
+test("the counts of a service reach the other instances in heartbeats and digests", async () => {
+    const fleet = new TestFleet();
+    fleet.add(6);
+    const budgets = fleet.instances.map(({ exchange, payload }) => {
+        const budget = new RetryBudget({
+            clock: fleet.clock,
+            random: fleet.random,
+            limits: () => ({ share, burst: 0, windowMs }),
+            remote: {
+                usage: key => exchange.view.usage(key),
+                reportDelayMs: () => exchange.reportDelayMs(),
+                uncoveredShare: coveredMs => exchange.view.uncoveredShare(coveredMs),
+                onScarce: () => {},
+            },
+            reach: () => ({ live: 6, known: 6 }),
+        });
+        payload.next = () => ({ usage: budget.take().usage });
+        return budget;
+    });
+    await fleet.clock.advance(3_000);
+    budgets.forEach(budget => Array.from({ length: 10 }, () => budget.recordRequest(reportsService)));
+    await fleet.clock.advance(1_500);
+    assert.equal(budgets.map(budget => budget.requestsPerSecond(reportsService)), [6, 6, 6, 6, 6, 6]);
+    let count = 0;
+    for (let attempt = 0; attempt < 60; attempt++) {
+        count += budgets[attempt % 2]!.tryAcquire(reportsService, 0) ? 1 : 0;
+        await fleet.clock.advance(100);
+    }
+    // One instance could make 2 from its own requests; the others hear of what it makes beyond that.
+    assert.ok(count >= 8 && count <= 12, `${count} of 12`);
+    assert.not(budgets[2]!.tryAcquire(reportsService, 0));
+});
+
 const isCut = (nowMs: number): boolean => nowMs >= 22_000 && nowMs < 32_000;
 const instancesOf = (count: number): readonly number[] => Array.from({ length: count }, (_, index) => index);
 
--- a/packages/gateway/src/lib/balance/retry-budget.ts
+++ b/packages/gateway/src/lib/balance/retry-budget.ts
@@ -115,7 +115,9 @@
 
     /** Requests of a service from all instances, per second over the window. */
     requestsPerSecond(service: ServiceId): number {
-        return this.#account(service).fleet.requests() / this.#setup.limits().windowMs * 1_000;
+        const account = this.#account(service);
+        this.#updateRemote(account);
+        return account.fleet.requests() / this.#setup.limits().windowMs * 1_000;
     }
 
     /** Whether an extra attempt is likely to be available to a request of a rank; 0 is the most urgent one. */
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -1,18 +1,17 @@
 /** Creates the components of an instance and connects them. */
 import type { Clock, LogPort, Random, Sha256, UpstreamId, ZoneId } from "@sniperoad/core";
 import { splitAddress, TcpPeers } from "@sniperoad/daemon";
+import { createAttemptLimits, joinUsage } from "./attempt-limits.js";
 import { FleetLoad } from "./balance/fleet-load.js";
 import type { RemoteLoads } from "./balance/fleet-load.js";
-import { RetryBudget } from "./balance/retry-budget.js";
-import type { RemoteAttempts } from "./balance/retry-budget.js";
+import type { RemoteAttempts, RetryBudget } from "./balance/retry-budget.js";
 import type { DirectoryResponse } from "./fleet/directory.js";
 import { FleetExchange } from "./fleet/fleet-exchange.js";
-import type { Heartbeat } from "./fleet/heartbeat.js";
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
 import { defaultGrayFailureModel, GrayFailureEstimator } from "./health/gray-failure-estimator.js";
 import { GrayModelLearner } from "./health/gray-model-learner.js";
-import { RejectionMonitor } from "./health/rejection-monitor.js";
+import type { RejectionMonitor } from "./health/rejection-monitor.js";
 import { SharedOutcomes } from "./health/shared-outcomes.js";
 import { UpstreamFloor } from "./health/upstream-floor.js";
 import type { GatewayInstance } from "./model.js";
@@ -126,7 +125,7 @@
         fleetSize,
         shareStatements: heard => exchange.sendToAll({ kind: "statements", statements: heard }),
     });
-    const { outcomes, crashes, rates, retryBudget, rejections, load, statements } = evidence;
+    const { outcomes, crashes, rates, load, statements } = evidence;
     const endsAtMs = (): number | undefined => flags.endsAtMs;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const common = { self, clock, random, sha256, log, roster };
@@ -154,7 +153,7 @@
             isReady: isReady(),
             isLeaving: flags.isLeaving,
             ...state.collectionStates(),
-            ...joinUsage(retryBudget.take(), rates.take(), rejections.report()),
+            ...joinUsage(evidence, rates.take()),
             inFlight: load.report(),
             ...outcomes.take(),
             crashes: crashes.report(),
@@ -202,18 +201,6 @@
         contact: address => exchange.contact(address),
     });
 
-/** What a heartbeat reports of rates and retry budgets. */
-type ReportedUsage = Pick<Heartbeat, "usage" | "hasScarceUsage">;
-
-const joinUsage = (
-    first: ReportedUsage,
-    second: ReportedUsage,
-    rejections: ReportedUsage["usage"],
-): ReportedUsage => ({
-    usage: [...first.usage, ...rejections, ...second.usage],
-    hasScarceUsage: first.hasScarceUsage || second.hasScarceUsage,
-});
-
 const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates & RemoteAttempts => ({
     usage: key => exchange().view.usage(key),
     reportDelayMs: () => exchange().reportDelayMs(),
@@ -237,10 +224,11 @@
 >;
 
 const createEvidence = (
-    { clock, random, settings, log }: GatewayOptions,
+    options: GatewayOptions,
     upstreams: UpstreamRegistry,
     { ownKey, announce, onLoad, remoteLoads, remoteRates, shareStatements, fleetSize }: EvidenceSetup,
 ): Evidence => {
+    const { clock, random, settings, log } = options;
     const learner = new GrayModelLearner(
         clock,
         defaultGrayFailureModel,
@@ -264,13 +252,6 @@
         announce,
         onRemote: (upstream, count) => meters.recordRemote(upstream, count),
     });
-    const retryBudget = new RetryBudget({
-        clock,
-        random,
-        limits: () => retryOptions(settings()),
-        remote: remoteRates,
-        reach: fleetSize,
-    });
     return {
         gray,
         floor,
@@ -284,13 +265,7 @@
         }),
         load: new FleetLoad(onLoad, remoteLoads),
         rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
-        retryBudget,
-        rejections: new RejectionMonitor({
-            clock,
-            usage: remoteRates.usage,
-            requestsPerSecond: service => retryBudget.requestsPerSecond(service),
-            outcomes,
-        }),
+        ...createAttemptLimits(options, { remote: remoteRates, reach: fleetSize, outcomes }),
         outcomes,
         crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
     };
@@ -337,12 +312,6 @@
     statements.renew();
 };
 
-const retryOptions = ({ retryShare, retryBurst, retryWindowSeconds }: GatewaySettings) => ({
-    share: retryShare,
-    burst: retryBurst,
-    windowMs: retryWindowSeconds * 1_000,
-});
-
 const rateOptions = ({ rateWindowSeconds, rateOverage, rateSlack }: GatewaySettings) => ({
     windowMs: rateWindowSeconds * 1_000,
     overage: rateOverage,
