--- a/packages/gateway/src/lib/balance/retry-budget.ts
+++ b/packages/gateway/src/lib/balance/retry-budget.ts
@@ -113,6 +113,13 @@
         account.fleet.addRequests(1);
     }
 
+    /** Requests of a service from all instances, per second over the window. */
+    requestsPerSecond(service: ServiceId): number {
+        const account = this.#account(service);
+        this.#updateRemote(account);
+        return account.fleet.requests() / this.#setup.limits().windowMs * 1_000;
+    }
+
     /** Whether an extra attempt is likely to be available to a request of a rank; 0 is the most urgent one. */
     hasCredit(service: ServiceId, rank: number): boolean {
         return this.#chance(this.#account(service), rank) >= reliableChance;
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -1,16 +1,17 @@
 /** Creates the components of an instance and connects them. */
 import type { Clock, LogPort, Random, Sha256, UpstreamId, ZoneId } from "@sniperoad/core";
 import { splitAddress, TcpPeers } from "@sniperoad/daemon";
+import { createAttemptLimits, joinUsage } from "./attempt-limits.js";
 import { FleetLoad } from "./balance/fleet-load.js";
 import type { RemoteLoads } from "./balance/fleet-load.js";
-import { RetryBudget } from "./balance/retry-budget.js";
-import type { RemoteAttempts } from "./balance/retry-budget.js";
+import type { RemoteAttempts, RetryBudget } from "./balance/retry-budget.js";
 import type { DirectoryResponse } from "./fleet/directory.js";
 import { FleetExchange } from "./fleet/fleet-exchange.js";
-import type { Heartbeat } from "./fleet/heartbeat.js";
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
-import { GrayFailureEstimator } from "./health/gray-failure-estimator.js";
+import { defaultGrayFailureModel, GrayFailureEstimator } from "./health/gray-failure-estimator.js";
+import { GrayModelLearner } from "./health/gray-model-learner.js";
+import type { RejectionMonitor } from "./health/rejection-monitor.js";
 import { SharedOutcomes } from "./health/shared-outcomes.js";
 import { UpstreamFloor } from "./health/upstream-floor.js";
 import type { GatewayInstance } from "./model.js";
@@ -84,6 +85,7 @@
     readonly load: FleetLoad;
     readonly rates: FleetRateLimiter;
     readonly retryBudget: RetryBudget;
+    readonly rejections: RejectionMonitor;
     readonly floor: UpstreamFloor;
     readonly outcomes: SharedOutcomes;
     readonly crashes: CrashTracker;
@@ -134,7 +136,7 @@
         shareStatements: heard => exchange.sendToAll({ kind: "statements", statements: heard }),
         shareOutages: outages => exchange.sendToAll({ kind: "outages", outages }),
     });
-    const { outcomes, crashes, rates, retryBudget, load, statements } = evidence;
+    const { outcomes, crashes, rates, load, statements } = evidence;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const common = { self, clock, random, sha256, log, roster };
     const state: FleetState = new FleetState({
@@ -159,7 +161,7 @@
             isReady: isReady(),
             isLeaving: flags.isLeaving,
             ...state.collectionStates(),
-            ...joinUsage(retryBudget.take(), rates.take()),
+            ...joinUsage(evidence, rates.take()),
             inFlight: load.report(),
             ...outcomes.take(),
             crashes: crashes.report(),
@@ -234,14 +236,6 @@
         contact: address => exchange.contact(address),
     });
 
-/** What a heartbeat reports of rates and retry budgets. */
-type ReportedUsage = Pick<Heartbeat, "usage" | "hasScarceUsage">;
-
-const joinUsage = (first: ReportedUsage, second: ReportedUsage): ReportedUsage => ({
-    usage: [...first.usage, ...second.usage],
-    hasScarceUsage: first.hasScarceUsage || second.hasScarceUsage,
-});
-
 const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates & RemoteAttempts => ({
     usage: key => exchange().view.usage(key),
     reportDelayMs: () => exchange().reportDelayMs(),
@@ -256,6 +250,7 @@
     | "load"
     | "rates"
     | "retryBudget"
+    | "rejections"
     | "floor"
     | "outcomes"
     | "crashes"
@@ -266,11 +261,17 @@
 >;
 
 const createEvidence = (
-    { clock, random, settings, log }: GatewayOptions,
+    options: GatewayOptions,
     upstreams: UpstreamRegistry,
     { ownKey, announce, onLoad, remoteLoads, remoteRates, shareStatements, shareOutages, fleetSize }: EvidenceSetup,
 ): Evidence => {
-    const gray = new GrayFailureEstimator(clock);
+    const { clock, random, settings, log } = options;
+    const learner = new GrayModelLearner(
+        clock,
+        defaultGrayFailureModel,
+        model => log.event("gray-model-changed", { ...model }),
+    );
+    const gray = new GrayFailureEstimator(clock, learner);
     const serviceOf = (upstream: UpstreamId) => upstreams.get(upstream)?.listed.service;
     const upstreamsOf = (key: number) => upstreams.idsOf(key);
     const floor = new UpstreamFloor({ clock, random, floorShare: () => settings().floorShare, serviceOf });
@@ -285,6 +286,7 @@
         meters.recordRemote(upstream, count);
         listeners.forEach(listener => listener(upstream, count));
     };
+    const outcomes = new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce, onRemote });
     return {
         onCompleted: listener => listeners.push(listener),
         gray,
@@ -294,14 +296,8 @@
         outages: new UpstreamOutages({ clock, listedOf, share: shareOutages }),
         load: new FleetLoad(onLoad, remoteLoads),
         rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
-        retryBudget: new RetryBudget({
-            clock,
-            random,
-            limits: () => retryOptions(settings()),
-            remote: remoteRates,
-            reach: fleetSize,
-        }),
-        outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce, onRemote }),
+        ...createAttemptLimits(options, { remote: remoteRates, reach: fleetSize, outcomes }),
+        outcomes,
         crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
     };
 };
@@ -328,12 +324,6 @@
     gray.reset(upstream);
 };
 
-const retryOptions = ({ retryShare, retryBurst, retryWindowSeconds }: GatewaySettings) => ({
-    share: retryShare,
-    burst: retryBurst,
-    windowMs: retryWindowSeconds * 1_000,
-});
-
 const rateOptions = ({ rateWindowSeconds, rateOverage, rateSlack }: GatewaySettings) => ({
     windowMs: rateWindowSeconds * 1_000,
     overage: rateOverage,
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -3,6 +3,7 @@
 import type { ServicePressures } from "./admission/service-pressures.js";
 import { Hedging } from "./balance/hedging.js";
 import type { HedgingOptions } from "./balance/hedging.js";
+import { RouteSeparation } from "./balance/route-separation.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
 import { PathBackoff } from "./health/path-backoff.js";
@@ -33,13 +34,13 @@
     connections: UpstreamConnectionPool,
 ): RequestComponents => {
     const { clock, random, log, sha256, headers, settings } = options;
-    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters, retryBudget } =
-        fleet;
-    const { evacuations, outages, cold, fleetSize: reach } = fleet;
+    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters } = fleet;
+    const { retryBudget, rejections, evacuations, outages, cold, fleetSize: reach } = fleet;
     const paths = new PathBackoff(clock);
     const willing = new WillingUpstreams({ clock, random, statements, meters, cold, reach, evacuations });
     const decisions = createAdmissionComponents(options, fleet, paths, willing, metrics);
     const { admission, pressures, utilization, answerTimes, serviceTimes } = decisions;
+    const separation = new RouteSeparation(clock);
     const hasHope = ({ id, targetLatencyMs }: Pick<GatewayRoute, "id" | "targetLatencyMs">, leftMs: number): boolean =>
         admission.hasHope({ route: id, targetLatencyMs }, leftMs);
     const dispatcher = new UpstreamDispatcher({
@@ -51,6 +52,7 @@
         load,
         paths,
         outcomes,
+        rejections,
         floor,
         retryBudget,
         meters,
@@ -64,7 +66,9 @@
             hasRoom: service => utilization(service) < 1,
         }),
         answerTimeMs: service => serviceTimes.quantile(service, 0.25),
+        avoided: ({ service, route }, candidates) => separation.avoidedFor(service, route, candidates),
         onAnswer: ({ route, service }, tookMs) => {
+            separation.recordAnswer(service, route, tookMs);
             answerTimes.record(route.id, tookMs);
             serviceTimes.record(service, tookMs);
             pressures.recordAnswer(service, route.id, tookMs);
--- a/packages/gateway/src/lib/request/attempt-evaluator.ts
+++ b/packages/gateway/src/lib/request/attempt-evaluator.ts
@@ -1,7 +1,9 @@
 /** Evaluates the results of attempts, and records what they show about the upstreams. */
 import type { LogPort } from "@sniperoad/core";
 import { match } from "ts-pattern";
+import type { Selection } from "../balance/upstream-selector.js";
 import type { PathBackoff } from "../health/path-backoff.js";
+import type { RejectionMonitor } from "../health/rejection-monitor.js";
 import type { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { ListedUpstream } from "../model.js";
 import type { UpstreamOutages } from "../statements/upstream-outages.js";
@@ -17,6 +19,7 @@
     readonly paths: PathBackoff;
     readonly outcomes: SharedOutcomes;
     readonly statements: Pick<UpstreamStatements, "recordAnswer">;
+    readonly rejections: Pick<RejectionMonitor, "recordRejection">;
     readonly crashes: CrashTracker;
     readonly outages: Pick<UpstreamOutages, "recordRefused" | "recordAnswered">;
 }
@@ -25,7 +28,7 @@
 export interface EndedAttempt {
     readonly result: UpstreamResult;
     readonly dispatched: DispatchedRequest;
-    readonly listed: ListedUpstream;
+    readonly selection: Selection;
     /** Monotonic time at which the attempt began. */
     readonly startMs: number;
 }
@@ -35,7 +38,7 @@
  * statements and whether it crashed.
  *
  * @example
- * const outcome = evaluator.evaluate({ result, dispatched, listed, startMs });
+ * const outcome = evaluator.evaluate({ result, dispatched, selection, startMs });
  */
 export class AttemptEvaluator {
     readonly #options: AttemptEvaluatorOptions;
@@ -45,7 +48,8 @@
     }
 
     /** Evaluates the result of an attempt, and records what it shows about the upstream. */
-    evaluate({ result, dispatched, listed, startMs }: EndedAttempt): DispatchResult {
+    evaluate({ result, dispatched, selection, startMs }: EndedAttempt): DispatchResult {
+        const { listed } = selection.upstream;
         const upstream = listed.id;
         const { paths } = this.#options;
         return match(result)
@@ -55,7 +59,7 @@
                 if (answer.metadata.isFromUpstream && !answer.metadata.isMisdirected) {
                     this.#options.outages.recordAnswered(listed, startMs);
                 }
-                return this.#evaluateResponse(answer, listed);
+                return this.#evaluateResponse(answer, selection);
             })
             .with({ kind: "refused" }, ({ reason, hasExited }): DispatchResult => {
                 this.#recordPathFailure(listed);
@@ -102,8 +106,9 @@
         }
     }
 
-    #evaluateResponse(answer: UpstreamResponse, listed: ListedUpstream): DispatchResult {
-        const { outcomes, paths, statements } = this.#options;
+    #evaluateResponse(answer: UpstreamResponse, selection: Selection): DispatchResult {
+        const { outcomes, paths, statements, rejections } = this.#options;
+        const { listed } = selection.upstream;
         const upstream = listed.id;
         if (answer.metadata.isMisdirected) {
             paths.recordFailure(upstream);
@@ -116,6 +121,11 @@
             }
         }
         if (answer.metadata.isNotRun) {
+            const { isLeaving, limitPerSecond, retryAfterMs } = answer.metadata.statement;
+            // An upstream that states why it rejects is treated by its statement.
+            if (!isLeaving && limitPerSecond === undefined && retryAfterMs === undefined) {
+                rejections.recordRejection(selection.upstream, selection.inFlight);
+            }
             return { kind: "not-run", reason: `the upstream refused it with ${answer.status}` };
         }
         if (!answer.metadata.isFromUpstream && answer.status < 500) {
--- a/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.test.ts
@@ -103,11 +103,13 @@
         meters: { recordOwn: upstream => void sent.push(upstream) },
         statements: { recordAnswer: (listed, statement) => void stated.push([listed.id, statement.limitPerSecond]) },
         outages: { recordRefused: ({ id }) => void outages.push(id), recordAnswered: () => {} },
+        rejections: { recordRejection: () => {} },
         retryBudget,
         candidates: () => ["u1", "u2", "u3"].map(name => knownUpstream(name)),
         crashes,
         hasHope: (_route, leftMs) => leftMs > 0,
         hedging: hedgingWith(clock, retryBudget),
+        avoided: () => new Set(),
         answerTimeMs: () => undefined,
         onAnswer: () => {},
     });
--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -5,6 +5,7 @@
 import type { RetryBudget } from "../balance/retry-budget.js";
 import type { Selection, UpstreamSelector } from "../balance/upstream-selector.js";
 import type { PathBackoff } from "../health/path-backoff.js";
+import type { RejectionMonitor } from "../health/rejection-monitor.js";
 import type { SharedOutcomes } from "../health/shared-outcomes.js";
 import type { UpstreamFloor } from "../health/upstream-floor.js";
 import type { GatewayRoute, ListedUpstream } from "../model.js";
@@ -43,6 +44,7 @@
     readonly meters: Pick<LimitMeters, "recordOwn">;
     readonly statements: Pick<UpstreamStatements, "recordAnswer">;
     readonly outages: Pick<UpstreamOutages, "recordRefused" | "recordAnswered">;
+    readonly rejections: Pick<RejectionMonitor, "recordRejection">;
     readonly retryBudget: RetryBudget;
     /** Upstreams of a service that may get one more request now. */
     readonly candidates: (service: ServiceId) => readonly KnownUpstream[];
@@ -50,6 +52,11 @@
     /** Whether an answer is possible within a time. */
     readonly hasHope: (route: GatewayRoute, leftMs: number) => boolean;
     readonly hedging: Hedging;
+    /** Upstreams that a request should leave to those of other routes. */
+    readonly avoided: (
+        dispatched: DispatchedRequest,
+        candidates: readonly KnownUpstream[],
+    ) => ReadonlySet<UpstreamId>;
     /** Lower quartile of the answer times of a service; undefined if it is not known. */
     readonly answerTimeMs: (service: ServiceId) => number | undefined;
     /** Called with the time of each successful attempt. */
@@ -180,8 +187,10 @@
 
     /** Selects the upstream of the next attempt; undefined if every candidate was tried. */
     #select({ dispatched, tried }: Progress, mayProbe = true): Selection | undefined {
+        const candidates = this.#options.candidates(dispatched.service);
         return this.#options.selector.select({
-            candidates: this.#options.candidates(dispatched.service),
+            candidates,
+            avoided: this.#options.avoided(dispatched, candidates),
             tried,
             // Without retry budget a failure is final, so the request must not go to an upstream that may be gray.
             isRepeatable: mayProbe
@@ -246,7 +255,7 @@
             progress.sent--;
             progress.failedConnections++;
         }
-        const outcome = this.#evaluator.evaluate({ result, dispatched, listed, startMs });
+        const outcome = this.#evaluator.evaluate({ result, dispatched, selection, startMs });
         const tookMs = clock.monotonicMs() - startMs;
         this.#recordTime(dispatched, listed, outcome, tookMs);
         this.#logAttempt(progress, selection, result, tookMs);
