--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -6,10 +6,12 @@
 import { join } from "node:path";
 import process from "node:process";
 
+/** Marks test files that run one at a time, after all others: their load would disturb other tests, and these theirs. */
+const aloneMarker = ".alone.test.js";
+
 const filter = process.argv[2] ?? "";
 const knownFailures = readKnownFailures();
 const files = testFiles().filter(file => file.includes(filter));
-const queue = [...files];
 let passed = 0;
 let failed = 0;
 let skipped = 0;
@@ -55,7 +57,7 @@
     return match ? Number(match[1]) : 0;
 }
 
-async function worker() {
+async function runQueue(queue) {
     for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
         const { code, output } = await runFile(file);
         const source = file.replace("/dist/", "/src/").replace(/\.js$/, ".ts");
@@ -78,7 +80,10 @@
     }
 }
 
-await Promise.all(Array.from({ length: Math.min(4, availableParallelism()) }, worker));
+const isAlone = file => file.endsWith(aloneMarker);
+const shared = files.filter(file => !isAlone(file));
+await Promise.all(Array.from({ length: Math.min(4, availableParallelism()) }, () => runQueue(shared)));
+await runQueue(files.filter(isAlone));
 console.log(`${files.length} test files`);
 console.log(`${passed} passed, ${failed} failed, ${skipped} skipped`);
 process.exitCode = failed === 0 && passed > 0 ? 0 : 1;
