Bound the memory and descriptors that callers can take

Callers could send any number of bodies at once, each of which was kept in pieces and copied at its end, run any number of pipelined requests, and leave any number of responses unread. A few uploads within max_body_bytes took a process over memoryMb.

A stream between each socket and the HTTP parser passes on only what a budget from memoryMb allows; bodies wait for memory, then get 503 with Retry-After. Requests of a connection run one after the other. Connections are bounded by the new setting maxDescriptors. Stalled bodies and unread responses end with a reset.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -7,6 +7,7 @@
 import type { FleetComponents, GatewayFlags, GatewayOptions } from "./gateway-components.js";
 import { openAuxiliaryServer } from "./http/auxiliary-server.js";
 import type { AuxiliaryServer } from "./http/auxiliary-server.js";
+import { callerBoundsOf } from "./http/caller-bounds.js";
 import { CallerServer, defaultCallerLimits } from "./http/caller-server.js";
 import type { GatewayInstance } from "./model.js";
 import { GatewayMetrics } from "./observe/metrics.js";
@@ -73,8 +74,12 @@
         address: self.callerAddress,
         codec: headers,
         limits: () => fleet.config.current?.config.limits ?? defaultCallerLimits,
+        bounds: callerBoundsOf(settings().memoryMb, settings().maxDescriptors),
+        upstreamBytes: () => connections.bufferedBytes,
+        organisationOf: ({ key }) => key === undefined ? undefined : fleet.config.current?.keys.find(key)?.id,
         handle: received => handler.handle(received),
         isLeaving: () => flags.isLeaving,
+        onRejection: reason => metrics.recordCallerRejection(reason),
     });
     const auxiliaryServers = await openAuxiliaryServers(options, self, fleet, metrics);
     fleet.exchange.start();
--- /dev/null
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -0,0 +1,267 @@
+/** A connection of a caller, between its socket and the HTTP parser. */
+import type { Clock, Timer } from "@sniperoad/core";
+import type { Socket } from "node:net";
+import { Duplex } from "node:stream";
+import type { TurnBudget } from "./turn-budget.js";
+
+/** Bytes that wait for the parser, above which the socket is not read. */
+const maxPendingBytes = 65_536;
+/** Bytes that the parser gets before other connections have their turn. */
+const bytesPerTurn = 4_096;
+/** Size of the parts in which a response is written, so that it shows whether the caller takes it. */
+const partBytes = 65_536;
+/** Bytes and time for which a rejected body is read and dropped: closing at once would lose the response on the way. */
+const maxDiscardedBytes = 1_048_576;
+const discardMs = 1_000;
+
+/** Options of {@link CallerConnection}. */
+export interface CallerConnectionOptions {
+    readonly clock: Pick<Clock, "monotonicMs" | "after">;
+    readonly turns: TurnBudget;
+    /** Number of bytes that the parser may get now. */
+    readonly allowedBytes: () => number;
+    /** Whether a body is on its way that nobody reads. */
+    readonly hasUnreadBody: () => boolean;
+    /** Counts bytes that wait here for the parser. */
+    readonly countPending: (changeBytes: number) => void;
+    /** Whether so many bytes wait on all connections that no more should be read while some do. */
+    readonly isPendingHigh: () => boolean;
+}
+
+/**
+ * Passes the bytes of a socket to the HTTP server of Node.js, but no more than is allowed at a time. The rest waits here,
+ * or in the socket. `Server` accepts any stream as a connection.
+ *
+ * @example
+ * const connection = new CallerConnection(socket, options);
+ * httpServer.emit("connection", connection);
+ */
+export class CallerConnection extends Duplex {
+    readonly #socket: Socket;
+    readonly #options: CallerConnectionOptions;
+    /** Monotonic time at which the connection was opened. */
+    readonly openedMs: number;
+    /** Monotonic time at which the first byte of a header that is not complete arrived. */
+    headerStartedMs: number | undefined;
+    #pending: Buffer[] = [];
+    #pendingBytes = 0;
+    #isPumping = false;
+    #isQueued = false;
+    #isReadWanted = true;
+    #hasSocketEnded = false;
+    #isDiscarding = false;
+    #discardedBytes = 0;
+    /** Parts of a response that the socket has not taken. */
+    #unwrittenParts = 0;
+    #writeProgressMs = 0;
+    #discardTimer: Timer | undefined;
+
+    constructor(socket: Socket, options: CallerConnectionOptions) {
+        super({ allowHalfOpen: true, readableHighWaterMark: 1 });
+        this.#socket = socket;
+        this.#options = options;
+        this.openedMs = options.clock.monotonicMs();
+        this.headerStartedMs = this.openedMs;
+        socket.on("data", chunk => this.#receive(chunk));
+        socket.on("end", () => {
+            this.#hasSocketEnded = true;
+            this.pump();
+        });
+        socket.on("error", error => this.destroy(error));
+        socket.on("close", () => this.destroy());
+        socket.on("timeout", () => this.emit("timeout"));
+    }
+
+    /** Whether the last response of the connection was written. */
+    get isClosing(): boolean {
+        return this.#isDiscarding;
+    }
+
+    /** Time for which the caller has taken nothing of a response; 0 if no response waits. */
+    unreadMs(nowMs: number): number {
+        return this.#unwrittenParts === 0 ? 0 : nowMs - this.#writeProgressMs;
+    }
+
+    /** Begins the time of the next header: now if a part of it waits, otherwise with its first byte. */
+    expectHeader(): void {
+        this.headerStartedMs = this.#pendingBytes > 0 ? this.#options.clock.monotonicMs() : undefined;
+    }
+
+    /** Passes on what is allowed. Call it when more is allowed. */
+    pump(): void {
+        if (this.#isPumping || this.#isQueued || this.destroyed) {
+            return;
+        }
+        this.#isPumping = true;
+        let passedBytes = 0;
+        while (this.#pendingBytes > 0 && this.#isReadWanted && !this.destroyed) {
+            const sizeBytes = Math.min(this.#options.allowedBytes(), this.#pending[0]!.length);
+            if (sizeBytes <= 0) {
+                break;
+            }
+            const mustYield = passedBytes >= bytesPerTurn && this.#options.turns.isContended;
+            if (mustYield || !this.#options.turns.hasTime()) {
+                this.#continueLater();
+                break;
+            }
+            passedBytes += sizeBytes;
+            this.#isReadWanted = this.push(this.#take(sizeBytes));
+        }
+        this.#isPumping = false;
+        this.#controlSocket();
+    }
+
+    /** Ends the connection with a reset, so that no response on it can pass for a whole one. */
+    reset(): void {
+        this.#socket.resetAndDestroy();
+        this.destroy();
+    }
+
+    /** Called by the HTTP server. */
+    setTimeout(timeoutMs: number): this {
+        this.#socket.setTimeout(timeoutMs);
+        return this;
+    }
+
+    /** Ends the connection after what was written; called by the HTTP server after the last response. */
+    destroySoon(): void {
+        this.#isDiscarding = true;
+        this.#dropPending();
+        const hasUnreadBody = this.#options.hasUnreadBody();
+        this.end(() => {
+            if (!hasUnreadBody) {
+                this.destroy();
+                return;
+            }
+            this.#socket.resume();
+            this.#discardTimer = this.#options.clock.after(discardMs, () => this.destroy());
+        });
+    }
+
+    override _read(): void {
+        this.#isReadWanted = true;
+        this.pump();
+    }
+
+    override _write(chunk: Buffer, _encoding: BufferEncoding, done: (error?: Error | null) => void): void {
+        this.#writeAll([chunk], done);
+    }
+
+    override _writev(
+        chunks: { readonly chunk: Buffer; }[],
+        done: (error?: Error | null) => void,
+    ): void {
+        this.#writeAll(chunks.map(({ chunk }) => chunk), done);
+    }
+
+    override _final(done: (error?: Error | null) => void): void {
+        this.#socket.end(() => done());
+    }
+
+    override _destroy(error: Error | null, done: (error?: Error | null) => void): void {
+        this.#dropPending();
+        this.#discardTimer?.cancel();
+        this.#socket.destroy();
+        done(error);
+    }
+
+    #receive(chunk: Buffer): void {
+        if (this.#isDiscarding) {
+            this.#discardedBytes += chunk.length;
+            if (this.#discardedBytes > maxDiscardedBytes) {
+                this.destroy();
+            }
+            return;
+        }
+        this.headerStartedMs ??= this.#options.clock.monotonicMs();
+        this.#pending.push(chunk);
+        this.#countPending(chunk.length);
+        this.pump();
+    }
+
+    #countPending(changeBytes: number): void {
+        this.#pendingBytes += changeBytes;
+        this.#options.countPending(changeBytes);
+    }
+
+    #dropPending(): void {
+        this.#pending = [];
+        this.#countPending(-this.#pendingBytes);
+    }
+
+    #take(sizeBytes: number): Buffer {
+        const first = this.#pending[0]!;
+        this.#countPending(-sizeBytes);
+        if (sizeBytes === first.length) {
+            this.#pending.shift();
+            return first;
+        }
+        this.#pending[0] = first.subarray(sizeBytes);
+        return first.subarray(0, sizeBytes);
+    }
+
+    #continueLater(): void {
+        this.#isQueued = true;
+        this.#options.turns.continueLater(() => {
+            this.#isQueued = false;
+            this.pump();
+        });
+    }
+
+    /** Stops or resumes the socket, and passes on its end. */
+    #controlSocket(): void {
+        if (this.destroyed) {
+            return;
+        }
+        // An end of the caller ends the connection, so requests behind the one in progress are not run.
+        const isStuck = this.#pendingBytes === 0 || this.#options.allowedBytes() <= 0;
+        if (this.#hasSocketEnded && isStuck && !this.#isQueued) {
+            this.#hasSocketEnded = false;
+            this.push(null);
+        }
+        if (this.#pendingBytes >= (this.#options.isPendingHigh() ? 1 : maxPendingBytes)) {
+            this.#socket.pause();
+        }
+        else if (this.#socket.isPaused()) {
+            this.#socket.resume();
+        }
+    }
+
+    #writeAll(chunks: readonly Buffer[], done: (error?: Error | null) => void): void {
+        const parts = chunks.flatMap(partsOf);
+        this.#unwrittenParts = parts.length;
+        this.#writeProgressMs = this.#options.clock.monotonicMs();
+        let next = 0;
+        const onWritten = (error?: Error | null): void => {
+            this.#unwrittenParts = parts.length - next;
+            this.#writeProgressMs = this.#options.clock.monotonicMs();
+            if (error || next === parts.length) {
+                this.#unwrittenParts = 0;
+                done(error);
+                return;
+            }
+            this.#unwrittenParts = parts.length - next;
+            this.#socket.write(parts[next++]!, onWritten);
+        };
+        // The headers and the first part of the body fit into one packet if the body is small.
+        if (parts.length === 2) {
+            this.#socket.cork();
+            this.#socket.write(parts[next++]!);
+            this.#socket.write(parts[next++]!, onWritten);
+            this.#socket.uncork();
+            return;
+        }
+        onWritten();
+    }
+}
+
+const partsOf = (chunk: Buffer): readonly Buffer[] => {
+    if (chunk.length <= partBytes) {
+        return [chunk];
+    }
+    const parts: Buffer[] = [];
+    for (let start = 0; start < chunk.length; start += partBytes) {
+        parts.push(chunk.subarray(start, start + partBytes));
+    }
+    return parts;
+};
--- a/packages/gateway/src/lib/http/caller-server.test.ts
+++ b/packages/gateway/src/lib/http/caller-server.test.ts
@@ -6,6 +6,7 @@
 import * as assert from "uvu/assert";
 import type { DecodedRequest } from "../model.js";
 import type { ReceivedRequest } from "../request/request-handler.js";
+import { callerBoundsOf } from "./caller-bounds.js";
 import { CallerServer } from "./caller-server.js";
 
 const freePort = (): Promise<number> =>
@@ -46,6 +47,10 @@
             }),
         },
         limits: () => limits,
+        bounds: callerBoundsOf(250, undefined),
+        upstreamBytes: () => 0,
+        organisationOf: () => undefined,
+        onRejection: () => {},
         handle,
         isLeaving: () => flags.isLeaving,
     });
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -1,17 +1,23 @@
 /** The HTTP server for callers. */
-import { serve } from "@hono/node-server";
-import type { HttpBindings } from "@hono/node-server";
-import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
-import type { Clock, Headers as HeaderList, HttpResponse, LogPort } from "@sniperoad/core";
-import { bodilessStatuses, hasValidHeaders, readBody, splitAddress } from "@sniperoad/daemon";
-import { Hono } from "hono";
+import type { Clock, Headers as HeaderList, HttpResponse, LogPort, Timer } from "@sniperoad/core";
+import { bodilessStatuses, hasValidHeaders, splitAddress } from "@sniperoad/daemon";
+import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { Socket } from "node:net";
 import { errorMessage } from "../errors.js";
-import type { CallerLimits } from "../model.js";
+import type { CallerLimits, DecodedRequest } from "../model.js";
+import { MemoryBudget } from "../request/memory-budget.js";
 import type { HeaderCodec } from "../request/ports.js";
 import type { ReceivedRequest } from "../request/request-handler.js";
+import type { CallerBounds } from "./caller-bounds.js";
+import type { CallerConnection } from "./caller-connection.js";
+import { CallerConnections } from "./caller-connections.js";
+import { CallerRejections } from "./caller-rejections.js";
+import type { CallerRejection } from "./caller-rejections.js";
+import { hasBody, RequestBody } from "./request-body.js";
+import type { BodyResult } from "./request-body.js";
+import type { CallerExchange } from "./request-sequence.js";
 
 /** Limits until a configuration is loaded; the values are common among HTTP proxies. */
 export const defaultCallerLimits: CallerLimits = {
@@ -24,8 +30,12 @@
 const parserHeaderBytes = 131_072;
 /** Time for which a request that was sent before the listener closed may be on its way. */
 const arrivalMs = 250;
-/** Interval at which the server checks for connections that exceed the header timeout. */
-const timeoutCheckMs = 500;
+/** Interval at which timeouts and the memory of callers are reviewed. */
+const reviewIntervalMs = 250;
+/** Time for which a body may wait for memory: an eighth of the request's deadline, and at most this. */
+const maxMemoryWaitMs = 1_000;
+const memoryWaitFraction = 1 / 8;
+const defaultDeadlineMs = 30_000;
 
 /** Options of {@link CallerServer}. */
 export interface CallerServerOptions {
@@ -34,9 +44,15 @@
     readonly address: string;
     readonly codec: Pick<HeaderCodec, "decodeRequest">;
     readonly limits: () => CallerLimits;
+    readonly bounds: CallerBounds;
+    /** Bytes of responses that are being read from upstreams. */
+    readonly upstreamBytes: () => number;
+    /** The organisation whose key a request bears. */
+    readonly organisationOf: (request: DecodedRequest) => string | undefined;
     readonly handle: (received: ReceivedRequest) => Promise<HttpResponse | undefined>;
     /** Whether responses close their connections, so that callers use another instance from now on. */
     readonly isLeaving: () => boolean;
+    readonly onRejection: (reason: CallerRejection) => void;
 }
 
 /**
@@ -49,29 +65,39 @@
 export class CallerServer {
     readonly #options: CallerServerOptions;
     readonly #server: Server;
-    readonly #activeSockets = new Set<Socket>();
+    readonly #budget: MemoryBudget;
+    readonly #rejections: CallerRejections;
+    readonly #connections: CallerConnections;
+    #activeRequests = 0;
+    #reviewTimer: Timer | undefined;
 
-    private constructor(options: CallerServerOptions, onStarted: (server: CallerServer) => void) {
+    private constructor(options: CallerServerOptions) {
+        const { clock, log, bounds, upstreamBytes, onRejection, limits } = options;
         this.#options = options;
-        const app = new Hono<{ Bindings: HttpBindings; }>();
-        app.all("*", async ({ env }) => {
-            await this.#serve(env.incoming, env.outgoing);
-            return RESPONSE_ALREADY_SENT;
+        this.#budget = new MemoryBudget({ clock, maxBytes: bounds.maxBufferedBytes, upstreamBytes });
+        this.#rejections = new CallerRejections({ clock, log, onRejection });
+        this.#server = createServer({
+            maxHeaderSize: parserHeaderBytes,
+            // Node.js would count the time for which a header waits behind a request in progress.
+            headersTimeout: 0,
+            requestTimeout: 0,
+            noDelay: true,
+        }, (incoming, outgoing) => this.#receive(incoming, outgoing));
+        // The connections that Node.js gets are streams which pass on no more than the budget allows.
+        const [attach] = this.#server.listeners("connection") as ((connection: unknown) => void)[];
+        this.#connections = new CallerConnections({
+            clock,
+            budget: this.#budget,
+            bounds,
+            limits,
+            reject: reason => this.#rejections.record(reason),
+            attach: connection => attach!.call(this.#server, connection),
+            run: exchange => void this.#run(exchange),
         });
-        const { host, port } = splitAddress(options.address);
-        this.#server = serve({
-            fetch: app.fetch,
-            hostname: host,
-            port,
-            overrideGlobalObjects: false,
-            serverOptions: {
-                maxHeaderSize: parserHeaderBytes,
-                connectionsCheckingInterval: timeoutCheckMs,
-                requestTimeout: 0,
-                noDelay: true,
-            },
-        }, () => onStarted(this)) as Server;
+        this.#server.removeAllListeners("connection");
+        this.#server.on("connection", (socket: Socket) => this.#connections.add(socket));
         this.applyLimits();
+        this.#review();
     }
 
     /**
@@ -81,21 +107,21 @@
      */
     static open(options: CallerServerOptions): Promise<CallerServer> {
         return new Promise((resolve, reject) => {
-            const server = new CallerServer(options, resolve);
+            const server = new CallerServer(options);
+            const { host, port } = splitAddress(options.address);
             server.#server.once("error", reject);
+            server.#server.listen(port, host, () => resolve(server));
         });
     }
 
     /** Number of requests in progress. */
     get activeRequestCount(): number {
-        return this.#activeSockets.size;
+        return this.#activeRequests;
     }
 
     /** Applies changed limits. */
     applyLimits(): void {
-        const { headerTimeoutMs, idleTimeoutMs } = this.#options.limits();
-        this.#server.headersTimeout = headerTimeoutMs;
-        this.#server.keepAliveTimeout = idleTimeoutMs;
+        this.#server.keepAliveTimeout = this.#options.limits().idleTimeoutMs;
     }
 
     /**
@@ -107,46 +133,100 @@
         const closed = new Promise<void>(resolve => NetServer.prototype.close.call(this.#server, () => resolve()));
         const arrived = new Promise<void>(resolve => this.#options.clock.after(arrivalMs, resolve));
         await Promise.race([closed, arrived]);
-        this.#server.closeIdleConnections();
+        this.#connections.closeIdle();
         await closed;
+        this.#reviewTimer?.cancel();
     }
 
-    async #serve(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-        const { clock, codec, limits, handle, log } = this.#options;
-        const receivedMs = clock.monotonicMs();
+    #review(): void {
+        this.#budget.review();
+        this.#connections.review();
+        this.#rejections.review();
+        this.#reviewTimer = this.#options.clock.after(reviewIntervalMs, () => this.#review());
+    }
+
+    /** Takes a request whose header was read. */
+    #receive(incoming: IncomingMessage, outgoing: ServerResponse): void {
+        const connection = this.#connections.connectionOf(incoming);
+        const receivedMs = this.#options.clock.monotonicMs();
+        const headers = headerList(incoming.rawHeaders);
+        const rejectedStatus = this.#rejectedStatus(incoming, headers);
+        const request = this.#options.codec.decodeRequest(incoming.method ?? "GET", incoming.url ?? "/", headers);
+        const isOverload = this.#budget.isFull;
+        const isBodyWanted = rejectedStatus === undefined && !(isOverload && hasBody(incoming));
+        const body = isBodyWanted ? this.#openBody(incoming, request, connection) : undefined;
+        const exchange = { connection, incoming, outgoing, request, rejectedStatus, isOverload, body, receivedMs };
+        this.#connections.receive(exchange);
+    }
+
+    /** Status with which a request is rejected because of its header. */
+    #rejectedStatus({ rawHeaders, headers: { host } }: IncomingMessage, headers: HeaderList): number | undefined {
+        if (!hasValidHeaders(rawHeaders) || host === undefined) {
+            return 400;
+        }
+        return headerBytes(headers) > this.#options.limits().maxHeaderBytes ? 431 : undefined;
+    }
+
+    #openBody(incoming: IncomingMessage, request: DecodedRequest, connection: CallerConnection): RequestBody {
+        const deadlineMs = request.deadlineMs ?? defaultDeadlineMs;
+        return new RequestBody(incoming, {
+            budget: this.#budget,
+            maxBytes: this.#options.limits().maxBodyBytes,
+            owner: this.#options.organisationOf(request),
+            waitMs: Math.min(maxMemoryWaitMs, deadlineMs * memoryWaitFraction),
+            onGranted: () => connection.pump(),
+        });
+    }
+
+    /** Answers a request; the response of the one before was written. */
+    async #run(exchange: CallerExchange): Promise<void> {
+        const { outgoing, body, rejectedStatus } = exchange;
         const disconnected = new AbortController();
+        this.#activeRequests++;
         outgoing.on("close", () => {
-            this.#activeSockets.delete(incoming.socket);
+            this.#activeRequests--;
             if (!outgoing.writableFinished) {
                 disconnected.abort();
             }
         });
-        this.#activeSockets.add(incoming.socket);
-        if (!hasValidHeaders(incoming.rawHeaders)) {
-            this.#write(outgoing, { status: 400, headers: [], body: new Uint8Array(0) }, true);
-            return;
-        }
-        const headers = headerList(incoming.rawHeaders);
-        if (headerBytes(headers) > limits().maxHeaderBytes) {
-            this.#write(outgoing, { status: 431, headers: [], body: new Uint8Array(0) }, true);
-            return;
-        }
         try {
-            const body = await readBody(incoming, limits().maxBodyBytes);
-            const request = codec.decodeRequest(incoming.method ?? "GET", incoming.url ?? "/", headers);
-            const response = await handle({ request, body, receivedMs, signal: disconnected.signal });
-            if (response !== undefined && !disconnected.signal.aborted) {
-                this.#write(outgoing, response, body === undefined);
+            if (rejectedStatus !== undefined) {
+                this.#write(outgoing, { status: rejectedStatus, headers: [], body: new Uint8Array(0) }, true);
+                return;
             }
+            const result: BodyResult = await body?.result ?? { kind: "rejected", reason: "memory" };
+            await this.#answer(exchange, result, disconnected.signal);
         }
         catch (error) {
             if (!disconnected.signal.aborted) {
-                log.event("request-failed", { reason: errorMessage(error) });
+                this.#options.log.event("request-failed", { reason: errorMessage(error) });
             }
             outgoing.destroy();
         }
     }
 
+    async #answer(exchange: CallerExchange, result: BodyResult, signal: AbortSignal): Promise<void> {
+        const { connection, request, outgoing, receivedMs } = exchange;
+        if (result.kind === "gone") {
+            connection.destroy();
+            return;
+        }
+        if (result.kind === "rejected" && result.reason === "stalled") {
+            this.#rejections.record("stalled-body");
+            connection.reset();
+            return;
+        }
+        const isOverload = exchange.isOverload || result.kind === "rejected";
+        if (isOverload) {
+            this.#rejections.record("memory");
+        }
+        const body = result.kind === "whole" ? result.body : undefined;
+        const response = await this.#options.handle({ request, body, isOverload, receivedMs, signal });
+        if (response !== undefined && !signal.aborted) {
+            this.#write(outgoing, response, body === undefined);
+        }
+    }
+
     #write(outgoing: ServerResponse, response: HttpResponse, mustClose: boolean): void {
         const headers = response.headers.filter(([name]) => !connectionHeaders.has(name));
         const hasBody = !bodilessStatuses.has(response.status);
@@ -154,8 +234,11 @@
         const lengthHeader: [string, string][] = hasBody ? [["content-length", String(response.body.length)]] : [];
         const isLast = mustClose || this.#options.isLeaving();
         const closeHeader: [string, string][] = isLast ? [["connection", "close"]] : [];
+        const release = this.#budget.hold(response.body.length);
+        outgoing.on("close", release);
         outgoing.writeHead(response.status, [...headers, ...lengthHeader, ...closeHeader].flat());
         outgoing.end(hasBody ? response.body : undefined);
+        this.#connections.reviewReaders();
     }
 }
 
--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -48,6 +48,13 @@
         registers: [this.#registry],
     });
 
+    readonly #callerRejections = new Counter({
+        name: "sniperoad_caller_rejections_total",
+        help: "Callers rejected for what they take, by reason",
+        labelNames: ["reason"],
+        registers: [this.#registry],
+    });
+
     constructor(sources: GaugeSources) {
         this.#gauge("sniperoad_config_version", "Version of the configuration in force", sources.configVersion);
         this.#gauge(
@@ -75,6 +82,10 @@
         this.#storeCalls.inc({ call, result });
     }
 
+    recordCallerRejection(reason: string): void {
+        this.#callerRejections.inc({ reason });
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     text(): Promise<string> {
         return this.#registry.metrics();
--- a/packages/gateway/src/lib/request/request-handler.ts
+++ b/packages/gateway/src/lib/request/request-handler.ts
@@ -22,6 +22,8 @@
 const startupPollMs = 20;
 /** Retry delay of requests that another instance can take at once. */
 const elsewhereRetryMs = 20;
+/** Least retry delay while callers take too much of this instance, mostly for seconds. */
+const overloadRetryMs = 250;
 /** Retry delay while the instance has no current configuration; refusals for load have their own. */
 const retryAfterMs = 250;
 
@@ -57,6 +59,8 @@
     readonly request: DecodedRequest;
     /** Undefined if it exceeds the size limit. */
     readonly body: Uint8Array | undefined;
+    /** Whether there is no memory for the request, which is not run then. */
+    readonly isOverload?: boolean;
     /** Monotonic time at which the headers were read. */
     readonly receivedMs: number;
     /** Aborted when the caller disconnects. */
@@ -122,6 +126,13 @@
         if (unconfirmedReason !== undefined) {
             return this.#refusal({ type: "not-current", detail: unconfirmedReason, retryAfterMs });
         }
+        if (received.isOverload === true) {
+            return this.#refusal({
+                type: "queue-full",
+                detail: "The memory for requests and responses is in use.",
+                retryAfterMs: this.#overloadRetryMs(request),
+            });
+        }
         if (body === undefined) {
             return this.#refusal({
                 type: "request-too-large",
@@ -197,6 +208,11 @@
             : { kind: "dispatched", dispatched, result };
     }
 
+    /** Spread, so that those who were rejected together do not return together; at most a third of the time left. */
+    #overloadRetryMs({ deadlineMs = defaultDeadlineMs }: DecodedRequest): number {
+        return Math.min(overloadRetryMs * (1 + this.#options.random()), deadlineMs / 3);
+    }
+
     #loadOf(
         route: GatewayRoute,
         service: ServiceId,
--- a/packages/gateway/src/lib/settings-file.ts
+++ b/packages/gateway/src/lib/settings-file.ts
@@ -22,6 +22,7 @@
     "storeAddress",
     "linkMbps",
     "memoryMb",
+    "maxDescriptors",
     "processorShare",
     "processorSpeed",
 ];
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -50,6 +50,8 @@
     transferLinkShare: positive.max(1).default(0.4),
     /** Memory above which the platform ends the process. */
     memoryMb: positive.default(350),
+    /** Maximum number of open file descriptors of the process; undefined or null: no limit. */
+    maxDescriptors: positive.nullish().transform(value => value ?? undefined),
     /** Share of a processor core that the machine provides. */
     processorShare: positive.default(1),
     /** Speed of that core relative to a usual one. */
--- a/packages/gateway/src/lib/template.test.ts
+++ b/packages/gateway/src/lib/template.test.ts
@@ -18,6 +18,7 @@
     "platform.address": "10.0.0.9:8408",
     "limits.link_mbps": 8.4,
     "limits.memory_mb": 250,
+    "limits.max_fds": 4_100,
     "limits.cpu_share": 0.27,
     "limits.cpu_cores": 1,
     "bounds.ttl_max_s": 5,
