--- a/packages/gateway/src/lib/http/caller-connection.ts
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -99,8 +99,7 @@
             if (sizeBytes <= 0) {
                 break;
             }
-            const mustYield = passedBytes >= bytesPerTurn && this.#options.turns.isContended;
-            if (mustYield || !this.#options.turns.hasTime()) {
+            if (this.#mustYield(passedBytes)) {
                 this.#continueLater();
                 break;
             }
@@ -200,6 +199,13 @@
         return first.subarray(0, sizeBytes);
     }
 
+    /** Whether others have their turn first; the clock is not read for what an ordinary request takes. */
+    #mustYield(passedBytes: number): boolean {
+        const { turns } = this.#options;
+        const isLittle = passedBytes < bytesPerTurn;
+        return turns.isContended ? !isLittle || !turns.hasTime() : !isLittle && !turns.hasTime();
+    }
+
     #continueLater(): void {
         this.#isQueued = true;
         this.#options.turns.continueLater(() => {
@@ -228,30 +234,28 @@
     }
 
     #writeAll(chunks: readonly Buffer[], done: (error?: Error | null) => void): void {
-        const parts = chunks.flatMap(partsOf);
-        this.#unwrittenParts = parts.length;
-        this.#writeProgressMs = this.#options.clock.monotonicMs();
+        const parts = chunks.filter(({ length }) => length > 0).flatMap(partsOf);
         let next = 0;
         const onWritten = (error?: Error | null): void => {
-            this.#unwrittenParts = parts.length - next;
+            this.#unwrittenParts = error ? 0 : parts.length - next;
             this.#writeProgressMs = this.#options.clock.monotonicMs();
             if (error || next === parts.length) {
-                this.#unwrittenParts = 0;
                 done(error);
                 return;
             }
-            this.#unwrittenParts = parts.length - next;
             this.#socket.write(parts[next++]!, onWritten);
         };
-        // The headers and the first part of the body fit into one packet if the body is small.
-        if (parts.length === 2) {
-            this.#socket.cork();
-            this.#socket.write(parts[next++]!);
-            this.#socket.write(parts[next++]!, onWritten);
-            this.#socket.uncork();
+        if (parts.length < 2) {
+            onWritten();
             return;
         }
-        onWritten();
+        // The header and the first part of the body go out together.
+        this.#unwrittenParts = parts.length;
+        this.#writeProgressMs = this.#options.clock.monotonicMs();
+        this.#socket.cork();
+        this.#socket.write(parts[next++]!);
+        this.#socket.write(parts[next++]!, onWritten);
+        this.#socket.uncork();
     }
 }
 
--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -13,7 +13,9 @@
 
 /** Time for which a connection without a request in progress must have been idle to make room for a new one. */
 const idleBeforeEvictionMs = 1_000;
-/** Time for which a caller may take nothing of a response while memory is ample, and while it is scarce. */
+/** Share of the connections from which they count as scarce. */
+const crowdedShare = 0.75;
+/** Time for which a caller may take nothing of a response while there is room, and while memory or connections are scarce. */
 const unreadMs = { ample: 10_000, scarce: 2_000 };
 const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n";
 
@@ -57,6 +59,11 @@
         this.#turns = new TurnBudget({ clock: options.clock, nextTurn: task => void setImmediate(task) });
     }
 
+    /** Whether there are so many connections that those without progress should end soon. */
+    get isCrowded(): boolean {
+        return this.#sessions.size > this.#options.bounds.maxConnections * crowdedShare;
+    }
+
     /** Takes a new connection, or closes it if there are too many that count more. */
     add(socket: Socket): void {
         const { clock, bounds, budget, run, attach, reject } = this.#options;
@@ -123,19 +130,13 @@
                 connection.end(requestTimeoutResponse, () => connection.destroy());
             }
         }
-        this.reviewReaders();
+        this.#resetUnread(this.isCrowded || this.#areResponsesScarce() ? unreadMs.scarce : unreadMs.ample);
     }
 
-    /** Resets connections whose callers do not take their responses. */
+    /** Makes room for a response, if those that wait take too much memory. */
     reviewReaders(): void {
-        const { clock, budget, bounds, reject } = this.#options;
-        const isScarce = budget.heldBytes > bounds.maxUnreadBytes;
-        const nowMs = clock.monotonicMs();
-        for (const { connection } of this.#sessions.values()) {
-            if (connection.unreadMs(nowMs) >= (isScarce ? unreadMs.scarce : unreadMs.ample)) {
-                reject("unread-response");
-                connection.reset();
-            }
+        if (this.#areResponsesScarce()) {
+            this.#resetUnread(unreadMs.scarce);
         }
     }
 
@@ -162,6 +163,23 @@
         connection.pump();
     }
 
+    #areResponsesScarce(): boolean {
+        const { budget, bounds } = this.#options;
+        return budget.heldBytes > bounds.maxUnreadBytes;
+    }
+
+    /** Resets connections whose callers have taken nothing of their response for a time. */
+    #resetUnread(maxUnreadMs: number): void {
+        const { clock, reject } = this.#options;
+        const nowMs = clock.monotonicMs();
+        for (const { connection } of this.#sessions.values()) {
+            if (connection.unreadMs(nowMs) >= maxUnreadMs) {
+                reject("unread-response");
+                connection.reset();
+            }
+        }
+    }
+
     /** The oldest connection that sent no request yet, or else the one that has been idle longest. */
     #connectionToEvict(): CallerSession | undefined {
         const idleBeforeMs = this.#options.clock.monotonicMs() - idleBeforeEvictionMs;
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -11,7 +11,6 @@
 import type { HeaderCodec } from "../request/ports.js";
 import type { ReceivedRequest } from "../request/request-handler.js";
 import type { CallerBounds } from "./caller-bounds.js";
-import type { CallerConnection } from "./caller-connection.js";
 import { CallerConnections } from "./caller-connections.js";
 import { CallerRejections } from "./caller-rejections.js";
 import type { CallerRejection } from "./caller-rejections.js";
@@ -139,7 +138,7 @@
     }
 
     #review(): void {
-        this.#budget.review();
+        this.#budget.review(this.#connections.isCrowded);
         this.#connections.review();
         this.#rejections.review();
         this.#reviewTimer = this.#options.clock.after(reviewIntervalMs, () => this.#review());
@@ -152,11 +151,11 @@
         const headers = headerList(incoming.rawHeaders);
         const rejectedStatus = this.#rejectedStatus(incoming, headers);
         const request = this.#options.codec.decodeRequest(incoming.method ?? "GET", incoming.url ?? "/", headers);
-        const isOverload = this.#budget.isFull;
+        const owner = this.#options.organisationOf(request);
+        const isOverload = !this.#budget.hasRoomFor(owner);
         const isBodyWanted = rejectedStatus === undefined && !(isOverload && hasBody(incoming));
-        const body = isBodyWanted ? this.#openBody(incoming, request, connection) : undefined;
-        const exchange = { connection, incoming, outgoing, request, rejectedStatus, isOverload, body, receivedMs };
-        this.#connections.receive(exchange);
+        const common = { connection, incoming, outgoing, request, owner, rejectedStatus, isOverload, receivedMs };
+        this.#connections.receive({ ...common, body: isBodyWanted ? this.#openBody(common) : undefined });
     }
 
     /** Status with which a request is rejected because of its header. */
@@ -167,12 +166,12 @@
         return headerBytes(headers) > this.#options.limits().maxHeaderBytes ? 431 : undefined;
     }
 
-    #openBody(incoming: IncomingMessage, request: DecodedRequest, connection: CallerConnection): RequestBody {
+    #openBody({ incoming, request, owner, connection }: Omit<CallerExchange, "body">): RequestBody {
         const deadlineMs = request.deadlineMs ?? defaultDeadlineMs;
         return new RequestBody(incoming, {
             budget: this.#budget,
             maxBytes: this.#options.limits().maxBodyBytes,
-            owner: this.#options.organisationOf(request),
+            owner,
             waitMs: Math.min(maxMemoryWaitMs, deadlineMs * memoryWaitFraction),
             onGranted: () => connection.pump(),
         });
@@ -180,7 +179,7 @@
 
     /** Answers a request; the response of the one before was written. */
     async #run(exchange: CallerExchange): Promise<void> {
-        const { outgoing, body, rejectedStatus } = exchange;
+        const { body, outgoing, rejectedStatus } = exchange;
         const disconnected = new AbortController();
         this.#activeRequests++;
         outgoing.on("close", () => {
@@ -191,7 +190,7 @@
         });
         try {
             if (rejectedStatus !== undefined) {
-                this.#write(outgoing, { status: rejectedStatus, headers: [], body: new Uint8Array(0) }, true);
+                this.#write(exchange, { status: rejectedStatus, headers: [], body: new Uint8Array(0) }, true);
                 return;
             }
             const result: BodyResult = await body?.result ?? { kind: "rejected", reason: "memory" };
@@ -206,7 +205,7 @@
     }
 
     async #answer(exchange: CallerExchange, result: BodyResult, signal: AbortSignal): Promise<void> {
-        const { connection, request, outgoing, receivedMs } = exchange;
+        const { connection, request, receivedMs } = exchange;
         if (result.kind === "gone") {
             connection.destroy();
             return;
@@ -223,18 +222,18 @@
         const body = result.kind === "whole" ? result.body : undefined;
         const response = await this.#options.handle({ request, body, isOverload, receivedMs, signal });
         if (response !== undefined && !signal.aborted) {
-            this.#write(outgoing, response, body === undefined);
+            this.#write(exchange, response, body === undefined);
         }
     }
 
-    #write(outgoing: ServerResponse, response: HttpResponse, mustClose: boolean): void {
+    #write({ outgoing, owner }: CallerExchange, response: HttpResponse, mustClose: boolean): void {
         const headers = response.headers.filter(([name]) => !connectionHeaders.has(name));
         const hasBody = !bodilessStatuses.has(response.status);
         // A length lets the caller detect an early end, whatever ends the connection.
         const lengthHeader: [string, string][] = hasBody ? [["content-length", String(response.body.length)]] : [];
         const isLast = mustClose || this.#options.isLeaving();
         const closeHeader: [string, string][] = isLast ? [["connection", "close"]] : [];
-        const release = this.#budget.hold(response.body.length);
+        const release = this.#budget.hold(response.body.length, owner);
         outgoing.on("close", release);
         outgoing.writeHead(response.status, [...headers, ...lengthHeader, ...closeHeader].flat());
         outgoing.end(hasBody ? response.body : undefined);
--- a/packages/gateway/src/lib/http/request-sequence.ts
+++ b/packages/gateway/src/lib/http/request-sequence.ts
@@ -11,6 +11,8 @@
     readonly incoming: IncomingMessage;
     readonly outgoing: ServerResponse;
     readonly request: DecodedRequest;
+    /** The organisation whose key the request bears. */
+    readonly owner: string | undefined;
     /** Status with which it is rejected because of its header. */
     readonly rejectedStatus: number | undefined;
     /** Whether there was no memory for a further request when its header was read. */
--- a/packages/gateway/src/lib/request/memory-budget.ts
+++ b/packages/gateway/src/lib/request/memory-budget.ts
@@ -61,6 +61,25 @@
     isComplete: boolean;
 }
 
+/** Bytes by owner. */
+class OwnerBytes {
+    readonly #bytes = new Map<string | undefined, number>();
+
+    get(owner: string | undefined): number {
+        return this.#bytes.get(owner) ?? 0;
+    }
+
+    add(owner: string | undefined, changeBytes: number): void {
+        const sizeBytes = this.get(owner) + changeBytes;
+        if (sizeBytes > 0) {
+            this.#bytes.set(owner, sizeBytes);
+        }
+        else {
+            this.#bytes.delete(owner);
+        }
+    }
+}
+
 /** Options of {@link MemoryBudget}. */
 export interface MemoryBudgetOptions {
     readonly clock: Pick<Clock, "monotonicMs">;
@@ -82,8 +101,8 @@
     readonly #entries = new Set<Entry>();
     /** Entries that wait, in the order in which they are served. */
     #waiting: Entry[] = [];
-    /** Bytes of large bodies by owner. */
-    readonly #ownerBytes = new Map<string | undefined, number>();
+    readonly #largeByOwner = new OwnerBytes();
+    readonly #heldByOwner = new OwnerBytes();
     #grantedBytes = 0;
     #heldBytes = 0;
     #pendingBytes = 0;
@@ -102,9 +121,10 @@
         return this.#heldBytes;
     }
 
-    /** Whether there is no memory for the response of a further request. */
-    get isFull(): boolean {
-        return this.usedBytes >= this.#options.maxBytes;
+    /** Whether there is memory for the response of a further request, and its owner has not used its share. */
+    hasRoomFor(owner: string | undefined): boolean {
+        const { maxBytes } = this.#options;
+        return this.usedBytes < maxBytes && this.#heldByOwner.get(owner) < maxBytes * ownerShare;
     }
 
     /** Whether bytes that wait for the parser take more than their share. */
@@ -118,13 +138,15 @@
     }
 
     /** Counts a response until the returned function is called. It was produced already, so it is never refused. */
-    hold(sizeBytes: number): () => void {
+    hold(sizeBytes: number, owner: string | undefined): () => void {
         this.#heldBytes += sizeBytes;
+        this.#heldByOwner.add(owner, sizeBytes);
         let isHeld = true;
         return () => {
             if (isHeld) {
                 isHeld = false;
                 this.#heldBytes -= sizeBytes;
+                this.#heldByOwner.add(owner, -sizeBytes);
                 this.#grantWaiting();
             }
         };
@@ -151,10 +173,14 @@
         };
     }
 
-    /** Rejects bodies that have waited or stalled too long, and serves those that wait. Call it a few times a second. */
-    review(): void {
+    /**
+     * Rejects bodies that have waited or stalled too long, and serves those that wait. Call it a few times a second.
+     *
+     * @param isCrowded whether something else than memory is scarce, so that stalled bodies should end soon
+     */
+    review(isCrowded: boolean): void {
         const nowMs = this.#options.clock.monotonicMs();
-        const isScarce = this.#waiting.length > 0 || this.usedBytes > this.#options.maxBytes * scarceShare;
+        const isScarce = isCrowded || this.#waiting.length > 0 || this.usedBytes > this.#options.maxBytes * scarceShare;
         const maxStallMs = isScarce ? stallMs.scarce : stallMs.ample;
         for (const entry of this.#entries) {
             if (entry.wantedBytes > 0) {
@@ -200,7 +226,7 @@
             return "budget";
         }
         const ownLargeBytes = grantedBytes > smallBodyBytes ? grantedBytes : 0;
-        const otherBytes = (this.#ownerBytes.get(owner) ?? 0) - ownLargeBytes;
+        const otherBytes = this.#largeByOwner.get(owner) - ownLargeBytes;
         return !isSmall && otherBytes > 0 && otherBytes + sizeBytes > maxBytes * ownerShare ? "share" : undefined;
     }
 
@@ -212,15 +238,8 @@
     }
 
     #setGranted(entry: Entry, sizeBytes: number): void {
-        const { owner } = entry.options;
         const largeBytes = (bytes: number): number => bytes > smallBodyBytes ? bytes : 0;
-        const ownerBytes = (this.#ownerBytes.get(owner) ?? 0) + largeBytes(sizeBytes) - largeBytes(entry.grantedBytes);
-        if (ownerBytes > 0) {
-            this.#ownerBytes.set(owner, ownerBytes);
-        }
-        else {
-            this.#ownerBytes.delete(owner);
-        }
+        this.#largeByOwner.add(entry.options.owner, largeBytes(sizeBytes) - largeBytes(entry.grantedBytes));
         this.#grantedBytes += sizeBytes - entry.grantedBytes;
         entry.grantedBytes = sizeBytes;
     }
