--- a/packages/gateway/src/lib/http/caller-server.test.ts
+++ b/packages/gateway/src/lib/http/caller-server.test.ts
@@ -1,4 +1,5 @@
 import type { HttpResponse } from "@sniperoad/core";
+import { seededRandom } from "@sniperoad/core/testing";
 import { systemClock } from "@sniperoad/daemon";
 import { createConnection, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
@@ -181,6 +182,62 @@
     });
 });
 
+// Guards against responses in another order, requests that run beside one another, and bytes that are lost or read twice
+// where the parts in which a connection is read begin and end.
+test("pipelined requests run one at a time and in order, however their bytes arrive", async () => {
+    const random = seededRandom(1);
+    for (let round = 0; round < 20; round++) {
+        const numbers = Array.from({ length: 30 }, (_item, number) => number);
+        const text = numbers.map(number => {
+            const body = "x".repeat(Math.floor(random() * 90));
+            const head = `PUT /${number} HTTP/1.1\r\nHost: a\r\n${number === 29 ? "Connection: close\r\n" : ""}`;
+            return random() < 0.5
+                ? `${head}Content-Length: ${body.length}\r\n\r\n${body}`
+                : `${head}Transfer-Encoding: chunked\r\n\r\n1;a=b\r\ny\r\n0\r\nTrailer: t\r\n\r\n`;
+        }).join("");
+        let running = 0;
+        let maxRunning = 0;
+        await withServer(async received => {
+            maxRunning = Math.max(maxRunning, ++running);
+            await new Promise(resolve => setImmediate(resolve));
+            running--;
+            return echo(received);
+        }, async ({ port }) => {
+            const socket = createConnection({ host: "127.0.0.1", port, noDelay: true });
+            let received = "";
+            socket.on("data", data => received += String(data));
+            const closed = new Promise(resolve => socket.on("close", resolve));
+            for (let start = 0; start < text.length;) {
+                const end = start + 1 + Math.floor(random() * 1_500);
+                socket.write(text.slice(start, end));
+                start = end;
+                await new Promise(resolve => setImmediate(resolve));
+            }
+            await closed;
+            assert.equal([...received.matchAll(/PUT \/(\d+) /g)].map(match => Number(match[1])), numbers);
+        });
+        assert.is(maxRunning, 1);
+    }
+});
+
+// Guards against a request that runs although its connection closes before its response, so that its caller repeats it.
+test("requests behind a response that closes the connection are not run", () => {
+    const targets: string[] = [];
+    return withServer(async received => {
+        targets.push(received.request.target);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        return echo(received);
+    }, async ({ port, flags, server }) => {
+        const response = exchange(port, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n".repeat(5));
+        await new Promise(resolve => setTimeout(resolve, 25));
+        assert.is(server.activeRequestCount, 1);
+        flags.isLeaving = true;
+        assert.match(await response, /GET \/first 0$/);
+        assert.equal(targets, ["/first"]);
+        assert.is(server.activeRequestCount, 0);
+    });
+});
+
 /** Sends requests one after the other, on kept connections as long as they last, until no connection is accepted. */
 const sendUntilRefused = (port: number, onAnswer: () => void): Promise<void> =>
     new Promise(resolve => {
--- a/packages/gateway/src/lib/request/memory-budget.ts
+++ b/packages/gateway/src/lib/request/memory-budget.ts
@@ -200,7 +200,9 @@
             return false;
         }
         const holds = ({ grantedBytes }: Entry): boolean => grantedBytes > 0;
-        const isFirstInLine = this.#waiting.length === 0 || sizeBytes <= smallBodyBytes || holds(entry);
+        // Bodies that wait only for the share of their owner do not hold up others.
+        const isFirstInLine = sizeBytes <= smallBodyBytes || holds(entry)
+            || this.#waiting.every(waiting => this.#obstacle(waiting, waiting.wantedBytes) === "share");
         if (isFirstInLine && this.#obstacle(entry, sizeBytes) === undefined) {
             this.#grant(entry, sizeBytes);
             return true;
