--- a/packages/daemon/src/lib/http-utils.ts
+++ b/packages/daemon/src/lib/http-utils.ts
@@ -7,6 +7,8 @@
 import { splitAddress } from "./settings.js";
 
 const emptyBody = new Uint8Array(0);
+/** First buffer for a body of unknown length. */
+const firstBytes = 4_096;
 
 /**
  * Reads the body of a request; undefined if it is larger than the limit.
@@ -21,16 +23,23 @@
     if (Number(incoming.headers["content-length"] ?? 0) > maxBytes) {
         return undefined;
     }
-    const chunks: Buffer[] = [];
+    // One buffer that grows: a list of chunks takes many times their size if they are small, and is copied at the end.
+    let body = Buffer.allocUnsafeSlow(Math.min(maxBytes, Number(incoming.headers["content-length"] ?? firstBytes)));
     let sizeBytes = 0;
     for await (const chunk of incoming as AsyncIterable<Buffer>) {
-        sizeBytes += chunk.length;
-        if (sizeBytes > maxBytes) {
+        const endBytes = sizeBytes + chunk.length;
+        if (endBytes > maxBytes) {
             return undefined;
         }
-        chunks.push(chunk);
+        if (endBytes > body.length) {
+            const larger = Buffer.allocUnsafeSlow(Math.min(maxBytes, Math.max(endBytes, body.length * 2)));
+            larger.set(body.subarray(0, sizeBytes));
+            body = larger;
+        }
+        body.set(chunk, sizeBytes);
+        sizeBytes = endBytes;
     }
-    return Buffer.concat(chunks);
+    return body.subarray(0, sizeBytes);
 };
 
 /**
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -81,7 +81,15 @@
             headersTimeout: 0,
             requestTimeout: 0,
             noDelay: true,
-        }, (incoming, outgoing) => this.#receive(incoming, outgoing));
+        }, (incoming, outgoing) => {
+            try {
+                this.#receive(incoming, outgoing);
+            }
+            catch (error) {
+                log.event("request-failed", { reason: errorMessage(error) });
+                outgoing.destroy();
+            }
+        });
         // The connections that Node.js gets are streams which pass on no more than the budget allows.
         const [attach] = this.#server.listeners("connection") as ((connection: unknown) => void)[];
         this.#connections = new CallerConnections({
--- a/packages/gateway/src/lib/http/request-body.ts
+++ b/packages/gateway/src/lib/http/request-body.ts
@@ -1,8 +1,8 @@
 /** Reads the body of one request into one buffer, within the memory that is granted for it. */
 import type { IncomingMessage } from "node:http";
+import { BodyMemory } from "../request/body-memory.js";
 import { smallBodyBytes } from "../request/memory-budget.js";
 import type { BodyRejection, BodyReservation, MemoryBudget } from "../request/memory-budget.js";
-import { BodyMemory } from "./body-memory.js";
 
 /** Bytes that the parser gets at once if it is not known what they are; they hold few requests or chunks. */
 export const pieceBytes = 1_024;
@@ -126,7 +126,14 @@
             this.#end({ kind: "too-large" });
             return;
         }
-        this.#memory.append(piece);
+        try {
+            this.#memory.append(piece);
+        }
+        catch {
+            // The system has no memory although the budget has.
+            this.#end({ kind: "rejected", reason: "memory" });
+            return;
+        }
         this.#reservation?.receive(piece.length);
         const isUnknown = this.#lengthBytes === undefined;
         if (isUnknown && sizeBytes > this.#wantedBytes - pieceBytes && this.#wantedBytes < maxBytes) {
