--- a/packages/gateway/src/lib/http/caller-connection.ts
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -4,8 +4,8 @@
 import { Duplex } from "node:stream";
 import type { TurnBudget } from "./turn-budget.js";
 
-/** Bytes that wait for the parser, above which the socket is not read. */
-const maxPendingBytes = 65_536;
+/** Bytes that wait for the parser, above which the socket is not read. A read adds up to 64 kB to them. */
+const maxPendingBytes = 16_384;
 /** Bytes that the parser gets before other connections have their turn. */
 const bytesPerTurn = 4_096;
 /** Size of the parts in which a response is written, so that it shows whether the caller takes it. */
@@ -89,7 +89,11 @@
 
     /** Passes on what is allowed. Call it when more is allowed. */
     pump(): void {
-        if (this.#isPumping || this.#isQueued || this.destroyed) {
+        if (this.#isPumping || this.destroyed) {
+            return;
+        }
+        if (this.#isQueued) {
+            this.#controlSocket();
             return;
         }
         this.#isPumping = true;
