--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -71,6 +71,13 @@
         registers: [this.#registry],
     });
 
+    readonly #callerRejections = new Counter({
+        name: "sniperoad_caller_rejections_total",
+        help: "Callers rejected for what they take, by reason",
+        labelNames: ["reason"],
+        registers: [this.#registry],
+    });
+
     constructor(sources: GaugeSources) {
         this.#gauge("sniperoad_config_version", "Version of the configuration in force", sources.configVersion);
         this.#gauge(
@@ -114,6 +121,10 @@
         this.#rejections.inc({ rank: String(rank), cause });
     }
 
+    recordCallerRejection(reason: string): void {
+        this.#callerRejections.inc({ reason });
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     text(): Promise<string> {
         return this.#registry.metrics();
