Run pipelined requests that may be repeated before their turn, within a bound

Cause: requests of a connection ran one after the other, so pipelined reads waited for each other. Change: up to four requests of a connection run at the same time while all of them may be repeated and have no body, bounded for all connections by an eighth of the descriptors; the end of a connection cancels all of them.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -76,6 +76,7 @@
         limits: () => fleet.config.current?.config.limits ?? defaultCallerLimits,
         bounds: callerBoundsOf(settings().memoryMb, settings().maxDescriptors),
         upstreamBytes: () => connections.bufferedBytes,
+        isRepeatable: ({ host, target }) => fleet.config.current?.routes.find(host, target)?.isIdempotent === true,
         organisationOf: ({ key }) => key === undefined ? undefined : fleet.config.current?.keys.find(key)?.id,
         handle: received => handler.handle(received),
         isLeaving: () => flags.isLeaving,
--- a/packages/gateway/src/lib/http/caller-bounds.ts
+++ b/packages/gateway/src/lib/http/caller-bounds.ts
@@ -14,10 +14,14 @@
 /** Descriptors for the store, other instances, files and the event loop. */
 const ownDescriptors = 64;
 const minConnections = 8;
+/** Share of the descriptors for pipelined requests that run before their turn. */
+const earlyShare = 0.125;
 
 /** Bounds on what callers may take. */
 export interface CallerBounds {
     readonly maxConnections: number;
+    /** Pipelined requests of all connections that run before their turn. */
+    readonly maxEarlyRequests: number;
     /** Bytes of bodies and responses. */
     readonly maxBufferedBytes: number;
     /** Bytes of responses that wait for callers, above which slow callers are reset early. */
@@ -32,11 +36,14 @@
  */
 export const callerBoundsOf = (memoryMb: number, maxDescriptors: number | undefined): CallerBounds => {
     const freeMb = Math.max(minMemoryMb, memoryMb - programMb);
-    // A connection has at most one request in progress, which takes a descriptor for its upstream.
-    const byDescriptors = maxDescriptors === undefined ? Infinity : (maxDescriptors - ownDescriptors) / 2;
+    const descriptors = maxDescriptors === undefined ? Infinity : maxDescriptors - ownDescriptors;
+    const maxEarlyRequests = Math.floor(Math.min(freeMb, descriptors * earlyShare));
+    // Each connection has one request whose turn it is, which takes a descriptor for its upstream.
+    const byDescriptors = (descriptors - maxEarlyRequests) / 2;
     const maxConnections = Math.max(minConnections, Math.floor(Math.min(freeMb * connectionsPerMb, byDescriptors)));
     return {
         maxConnections,
+        maxEarlyRequests: Math.max(0, maxEarlyRequests),
         maxBufferedBytes: freeMb * bufferedShare * megabyte,
         maxUnreadBytes: freeMb * unreadShare * megabyte,
     };
--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -53,6 +53,7 @@
     readonly #turns: TurnBudget;
     /** In the order in which they were opened. */
     readonly #sessions = new Map<CallerConnection, CallerSession>();
+    #earlyCount = 0;
 
     constructor(options: CallerConnectionsOptions) {
         this.#options = options;
@@ -77,7 +78,16 @@
             evicted.connection.destroy();
             this.#sessions.delete(evicted.connection);
         }
-        const sequence = new RequestSequence(run);
+        const sequence = new RequestSequence(run, {
+            tryTake: () => {
+                const isFree = this.#earlyCount < bounds.maxEarlyRequests;
+                this.#earlyCount += isFree ? 1 : 0;
+                return isFree;
+            },
+            release: () => {
+                this.#earlyCount--;
+            },
+        });
         const connection = new CallerConnection(socket, {
             clock,
             turns: this.#turns,
--- /dev/null
+++ b/packages/gateway/src/lib/http/caller-server.fixture.ts
@@ -0,0 +1,83 @@
+/** Runs a caller server on loopback, for tests. */
+import type { HttpResponse } from "@sniperoad/core";
+import { systemClock } from "@sniperoad/daemon";
+import { createConnection, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { DecodedRequest } from "../model.js";
+import type { ReceivedRequest } from "../request/request-handler.js";
+import { callerBoundsOf } from "./caller-bounds.js";
+import { CallerServer } from "./caller-server.js";
+
+const freePort = (): Promise<number> =>
+    new Promise(resolve => {
+        const server = createServer().listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+
+export const limits = { maxHeaderBytes: 500, maxBodyBytes: 100, headerTimeoutMs: 2_000, idleTimeoutMs: 2_000 };
+
+interface Setup {
+    readonly port: number;
+    readonly server: CallerServer;
+    readonly flags: { isLeaving: boolean; };
+}
+
+export const withServer = async (
+    handle: (received: ReceivedRequest) => Promise<HttpResponse | undefined>,
+    run: (setup: Setup) => Promise<void>,
+): Promise<void> => {
+    const port = await freePort();
+    const flags = { isLeaving: false };
+    const server = await CallerServer.open({
+        clock: systemClock,
+        log: { event: () => {} },
+        address: `127.0.0.1:${port}`,
+        codec: {
+            decodeRequest: (method, target, headers): DecodedRequest => ({
+                requestId: undefined,
+                host: "",
+                method,
+                target,
+                headers,
+                key: undefined,
+                deadlineMs: undefined,
+            }),
+        },
+        limits: () => limits,
+        bounds: callerBoundsOf(250, undefined),
+        upstreamBytes: () => 0,
+        organisationOf: () => undefined,
+        isRepeatable: ({ target }) => target.startsWith("/safe"),
+        onRejection: () => {},
+        handle,
+        isLeaving: () => flags.isLeaving,
+    });
+    try {
+        await run({ port, server, flags });
+    }
+    finally {
+        await server.close();
+    }
+};
+
+/** Sends bytes on a new connection and returns everything received until the server closes it. */
+export const exchange = (port: number, text: string): Promise<string> =>
+    new Promise(resolve => {
+        const socket = createConnection({ host: "127.0.0.1", port });
+        let received = "";
+        socket.on("data", data => received += String(data));
+        socket.on("close", () => resolve(received));
+        socket.on("error", () => {});
+        socket.write(text);
+    });
+
+export const get = (target: string, more = ""): string =>
+    `GET ${target} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n${more}\r\n`;
+export const echo = (received: ReceivedRequest): Promise<HttpResponse> =>
+    Promise.resolve({
+        status: 200,
+        headers: [["x-mark", "s"], ["transfer-encoding", "chunked"]],
+        body: Buffer.from(`${received.request.method} ${received.request.target} ${received.body?.length ?? "none"}`),
+    });
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -48,6 +48,8 @@
     readonly upstreamBytes: () => number;
     /** The organisation whose key a request bears. */
     readonly organisationOf: (request: DecodedRequest) => string | undefined;
+    /** Whether a request may run more than once. */
+    readonly isRepeatable: (request: DecodedRequest) => boolean;
     readonly handle: (received: ReceivedRequest) => Promise<HttpResponse | undefined>;
     /** Whether responses close their connections, so that callers use another instance from now on. */
     readonly isLeaving: () => boolean;
@@ -162,7 +164,20 @@
         const owner = this.#options.organisationOf(request);
         const isOverload = !this.#budget.hasRoomFor(owner);
         const isBodyWanted = rejectedStatus === undefined && !(isOverload && hasBody(incoming));
-        const common = { connection, incoming, outgoing, request, owner, rejectedStatus, isOverload, receivedMs };
+        const isRepeatable = !hasBody(incoming) && this.#options.isRepeatable(request);
+        const disconnected = new AbortController();
+        const common = {
+            connection,
+            incoming,
+            outgoing,
+            request,
+            owner,
+            rejectedStatus,
+            isOverload,
+            isRepeatable,
+            receivedMs,
+            disconnected,
+        };
         this.#connections.receive({ ...common, body: isBodyWanted ? this.#openBody(common) : undefined });
     }
 
@@ -187,11 +202,12 @@
 
     /** Answers a request; the response of the one before was written. */
     async #run(exchange: CallerExchange): Promise<void> {
-        const { body, outgoing, rejectedStatus } = exchange;
-        const disconnected = new AbortController();
+        const { body, outgoing, rejectedStatus, disconnected } = exchange;
         this.#activeRequests++;
-        outgoing.on("close", () => {
+        onEnd(exchange, () => {
             this.#activeRequests--;
+        });
+        outgoing.on("close", () => {
             if (!outgoing.writableFinished) {
                 disconnected.abort();
             }
@@ -234,7 +250,8 @@
         }
     }
 
-    #write({ outgoing, owner }: CallerExchange, response: HttpResponse, mustClose: boolean): void {
+    #write(exchange: CallerExchange, response: HttpResponse, mustClose: boolean): void {
+        const { outgoing, owner } = exchange;
         const headers = response.headers.filter(([name]) => !connectionHeaders.has(name));
         const hasBody = !bodilessStatuses.has(response.status);
         // A length lets the caller detect an early end, whatever ends the connection.
@@ -242,13 +259,29 @@
         const isLast = mustClose || this.#options.isLeaving();
         const closeHeader: [string, string][] = isLast ? [["connection", "close"]] : [];
         const release = this.#budget.hold(response.body.length, owner);
-        outgoing.on("close", release);
+        onEnd(exchange, release);
         outgoing.writeHead(response.status, [...headers, ...lengthHeader, ...closeHeader].flat());
         outgoing.end(hasBody ? response.body : undefined);
         this.#connections.reviewReaders();
     }
 }
 
+/**
+ * Runs a function once when a response was written or its connection has ended. A response that waits for an earlier one
+ * of its connection does not close with it.
+ */
+const onEnd = ({ outgoing, disconnected }: CallerExchange, run: () => void): void => {
+    let hasRun = false;
+    const runOnce = (): void => {
+        if (!hasRun) {
+            hasRun = true;
+            run();
+        }
+    };
+    outgoing.on("close", runOnce);
+    disconnected.signal.addEventListener("abort", runOnce, { once: true });
+};
+
 /** Hop-by-hop headers, and headers that define the framing of a message. */
 const connectionHeaders = new Set([
     "connection",
--- a/packages/gateway/src/lib/http/request-sequence.ts
+++ b/packages/gateway/src/lib/http/request-sequence.ts
@@ -1,4 +1,4 @@
-/** The requests of one connection, which run one after the other. */
+/** The requests of one connection, which are answered in order. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { DecodedRequest } from "../model.js";
 import type { CallerConnection } from "./caller-connection.js";
@@ -19,25 +19,43 @@
     readonly isOverload: boolean;
     /** Undefined if the request is rejected by its header, or if it has a body and there was no memory. */
     readonly body: RequestBody | undefined;
+    /** Whether it has no body and may run more than once, so that it may run before its turn. */
+    readonly isRepeatable: boolean;
     readonly receivedMs: number;
+    /** Aborted when the connection ends before the response. */
+    readonly disconnected: AbortController;
+}
+
+/** Maximum number of requests of a connection that run at the same time. */
+const maxRunning = 4;
+
+/** Limits the requests of all connections that run before their turn, each of which takes a descriptor. */
+export interface EarlyRequests {
+    /** Takes one; returns false if there are too many. */
+    readonly tryTake: () => boolean;
+    readonly release: () => void;
 }
 
 /**
- * Runs the requests of a connection in order, each after the response of the one before. Requests that were parsed
- * together with an earlier one wait; if its response closes the connection, they are not run.
+ * Runs the requests of a connection in order. Each waits for the response of the one before, unless both and all between
+ * them may be repeated: a response that closes the connection ends those behind it, and their caller sends them again.
  *
  * @example
- * const sequence = new RequestSequence(exchange => run(exchange));
+ * const sequence = new RequestSequence(exchange => run(exchange), earlyRequests);
  * sequence.add(exchange);
  * sequence.finish();
  */
 export class RequestSequence {
     readonly #run: (exchange: CallerExchange) => void;
-    /** The first one runs. */
+    readonly #early: EarlyRequests;
+    /** In the order of their responses; the first ones run. */
     #exchanges: CallerExchange[] = [];
+    #runningCount = 0;
+    #earlyCount = 0;
 
-    constructor(run: (exchange: CallerExchange) => void) {
+    constructor(run: (exchange: CallerExchange) => void, early: EarlyRequests) {
         this.#run = run;
+        this.#early = early;
     }
 
     get isIdle(): boolean {
@@ -50,34 +68,69 @@
         return last !== undefined && !last.incoming.complete;
     }
 
-    /** Bytes that the parser may get: none while a request runs, so that few are read ahead. */
+    /** Bytes that the parser may get: none while a request runs behind which none may run, so that few are read ahead. */
     get allowedBytes(): number {
         const last = this.#exchanges.at(-1);
         if (last === undefined) {
             return pieceBytes;
         }
-        return last.incoming.complete ? 0 : last.body?.allowedBytes ?? 0;
+        if (!last.incoming.complete) {
+            return last.body?.allowedBytes ?? 0;
+        }
+        const mayRunNext = this.#runningCount === this.#exchanges.length && this.#runningCount < maxRunning;
+        return mayRunNext && this.#exchanges.every(({ isRepeatable }) => isRepeatable) ? pieceBytes : 0;
     }
 
     add(exchange: CallerExchange): void {
         this.#exchanges.push(exchange);
-        if (this.#exchanges.length === 1) {
-            this.#run(exchange);
-        }
+        this.#runNext();
     }
 
-    /** The response of the first request is written; runs the next one. */
+    /** The response of the first request is written; runs those that may run now. */
     finish(): void {
         this.#exchanges.shift()?.body?.close();
-        const next = this.#exchanges[0];
-        if (next !== undefined) {
-            this.#run(next);
+        this.#runningCount = Math.max(0, this.#runningCount - 1);
+        if (this.#earlyCount > 0) {
+            this.#earlyCount--;
+            this.#early.release();
         }
+        this.#runNext();
     }
 
-    /** The connection has ended; the requests that wait are not run. */
+    /** The connection has ended; the requests that wait are not run, and the others are cancelled. */
     close(): void {
-        this.#exchanges.forEach(({ body }) => body?.close());
+        for (; this.#earlyCount > 0; this.#earlyCount--) {
+            this.#early.release();
+        }
+        const ended = this.#exchanges;
         this.#exchanges = [];
+        this.#runningCount = 0;
+        ended.forEach(({ body, disconnected }) => {
+            body?.close();
+            disconnected.abort();
+        });
+    }
+
+    #runNext(): void {
+        for (let next = this.#nextExchange(); next !== undefined; next = this.#nextExchange()) {
+            this.#runningCount++;
+            this.#run(next);
+        }
+    }
+
+    /** The first request that does not run, if it may run now. */
+    #nextExchange(): CallerExchange | undefined {
+        const next = this.#exchanges[this.#runningCount];
+        if (next === undefined || this.#runningCount === 0) {
+            return next;
+        }
+        const areRepeatable = this.#exchanges.slice(0, this.#runningCount + 1).every(({ isRepeatable }) =>
+            isRepeatable
+        );
+        if (!areRepeatable || this.#runningCount >= maxRunning || !this.#early.tryTake()) {
+            return undefined;
+        }
+        this.#earlyCount++;
+        return next;
     }
 }
