Create the code cache with the flags of the deploy file, after requests

V8 rejects a code cache that was created with other flags. The build now takes the flags from deploy/system.toml, reports a rejected cache, and creates it after a short run on loopback, so that it also holds functions that requests use. If that run fails, the cache is created as before.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,9 +2,12 @@
 // of its startup on compilation.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
-import { writeFileSync } from "node:fs";
+import { readFileSync, rmSync, writeFileSync } from "node:fs";
 import process from "node:process";
 
+const program = "target/sniperoad.cjs";
+const cache = "target/bundle.cache";
+const warmUp = "target/warm-up.mjs";
 const packages = ["core", "operator", "daemon", "gateway"];
 
 await build({
@@ -16,6 +19,8 @@
     outfile: "target/bundle.cjs",
     minifyWhitespace: true,
     minifySyntax: true,
+    // Licence texts with other than ASCII characters would make the loader decode the bundle as UTF-8.
+    legalComments: "external",
     logLevel: "warning",
     mainFields: ["module", "main"],
     // Optional native modules that are not needed.
@@ -28,32 +33,64 @@
     },
 });
 
-// The loader compiles the bundle with the code cache. V8 rejects the cache of another Node.js release, which only costs
-// time.
+await build({
+    entryPoints: ["scripts/warm-up.mjs"],
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    outfile: warmUp,
+    logLevel: "warning",
+});
+
+// The loader compiles the bundle with the code cache. The bundle is plain ASCII, so that reading it as Latin-1 is enough.
+// V8 rejects the cache of another Node.js release or other V8 flags, which only costs time.
 writeFileSync(
-    "target/sniperoad.cjs",
+    program,
     `
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const { Script } = require("node:vm");
 const bundle = __dirname + "/bundle.cjs";
 const cache = __dirname + "/bundle.cache";
-const source = "(function (require, module, exports, __filename, __dirname) {" + readFileSync(bundle, "utf8") + "\\n})";
+const source = "(function (require, module, exports, __filename, __dirname) {" + readFileSync(bundle, "latin1") + "\\n})";
 const cachedData = existsSync(cache) ? readFileSync(cache) : undefined;
 const script = new Script(source, { filename: bundle, cachedData });
-script.runInThisContext()(require, module, exports, bundle, __dirname);
 if (process.env.SNIPEROAD_WRITE_CACHE === "1") {
-    writeFileSync(cache, script.createCachedData());
+    process.on("exit", () => writeFileSync(cache, script.createCachedData()));
 }
+if (process.env.SNIPEROAD_CHECK_CACHE === "1") {
+    process.exit(cachedData !== undefined && !script.cachedDataRejected ? 0 : 1);
+}
+script.runInThisContext()(require, module, exports, bundle, __dirname);
 `.trimStart(),
 );
 
-// Without a settings file the program loads all its code and exits with an error, which is enough to create the cache.
+// V8 accepts the cache only with the flags that it was created with, so those of the deploy file are used.
+const runCommand = /^run = "node (?<flags>.*?)\s*target\/sniperoad\.cjs"$/m.exec(
+    readFileSync("deploy/system.toml", "utf8"),
+);
+const nodeFlags = runCommand.groups.flags.split(" ").filter(flag => flag !== "");
+const run = (args, variables) =>
+    execFileSync(process.execPath, args, { env: { ...process.env, ...variables }, stdio: "ignore" });
+
+rmSync(cache, { force: true });
+try {
+    // Functions that are compiled during requests are part of the cache too.
+    run([warmUp, program, ...nodeFlags]);
+}
+catch {
+    process.stderr.write("the warm-up failed; the code cache holds only what a start uses\n");
+    try {
+        // Without a settings file the program loads all its code and exits with an error.
+        run([...nodeFlags, program], { SNIPEROAD_WRITE_CACHE: "1", SNIPEROAD_NODE_FILE: "" });
+    }
+    catch {
+        // The program is expected to fail, since the settings file is missing.
+    }
+}
 try {
-    execFileSync(process.execPath, ["target/sniperoad.cjs"], {
-        env: { ...process.env, SNIPEROAD_WRITE_CACHE: "1", SNIPEROAD_NODE_FILE: "" },
-        stdio: "ignore",
-    });
+    run([...nodeFlags, program], { SNIPEROAD_CHECK_CACHE: "1" });
 }
 catch {
-    // The program is expected to fail, since the settings file is missing.
+    process.stderr.write("V8 rejects the code cache; starts take longer\n");
 }
