Bundle only the parts of undici that an instance uses

undici's index also loads caches, mocks, web sockets and the fetch client. The HTTP adapter reads the Request and Response globals, for which Node.js loaded its own copy of undici with the HTTP/2 and TLS modules. The bundle now has a smaller entry of undici, and defines these globals with the classes that it holds anyway.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -3,6 +3,7 @@
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { readFileSync, rmSync, writeFileSync } from "node:fs";
+import { resolve } from "node:path";
 import process from "node:process";
 
 const program = "target/sniperoad.cjs";
@@ -25,6 +26,17 @@
     mainFields: ["module", "main"],
     // Optional native modules that are not needed.
     external: ["unix-dgram", "cbor-extract"],
+    inject: ["scripts/fetch-globals.mjs"],
+    plugins: [{
+        name: "undici",
+        // An alias would apply to the files within the package too. The operator's commands are not part of an instance.
+        setup: ({ onResolve }) =>
+            onResolve(
+                { filter: /^undici$/ },
+                ({ importer }) =>
+                    importer.includes("/packages/operator/") ? undefined : { path: resolve("scripts/undici.mjs") },
+            ),
+    }],
     alias: {
         ...Object.fromEntries(packages.map(name => [`@sniperoad/${name}`, `./packages/${name}/src/index.ts`])),
         // Instances use HTTP/1.1 only; loading HTTP/2 takes a sixth of the startup time.
