Leave parts of prom-client and node:assert out of a start

An instance uses neither prom-client's gateway client nor its default metrics and cluster aggregation, which load https, zlib and v8. node:assert opens standard error when it is loaded; undici only needs it when an assertion fails. The warm-up of the code cache now uses the decoder of the deploy file.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -28,17 +28,24 @@
     external: ["unix-dgram", "cbor-extract"],
     inject: ["scripts/fetch-globals.mjs"],
     plugins: [{
-        name: "undici",
-        // An alias would apply to the files within the package too. The operator's commands are not part of an instance.
-        setup: ({ onResolve }) =>
+        name: "unused-parts",
+        // An alias would apply to the files within a package too. The operator's commands are not part of an instance.
+        setup: ({ onResolve }) => {
             onResolve(
                 { filter: /^undici$/ },
                 ({ importer }) =>
                     importer.includes("/packages/operator/") ? undefined : { path: resolve("scripts/undici.mjs") },
-            ),
+            );
+            onResolve(
+                { filter: /^\.\/lib\/(pushgateway|defaultMetrics|cluster)$/ },
+                ({ importer }) =>
+                    importer.includes("/prom-client/") ? { path: resolve("scripts/unused.cjs") } : undefined,
+            );
+        },
     }],
     alias: {
         ...Object.fromEntries(packages.map(name => [`@sniperoad/${name}`, `./packages/${name}/src/index.ts`])),
+        "node:assert": "./scripts/lazy-assert.cjs",
         // Instances use HTTP/1.1 only; loading HTTP/2 takes a sixth of the startup time.
         "node:http2": "./scripts/no-http2.cjs",
         http2: "./scripts/no-http2.cjs",
--- a/scripts/warm-up.mjs
+++ b/scripts/warm-up.mjs
@@ -130,6 +130,8 @@
         );
         const env = {
             ...process.env,
+            // As in the deploy file.
+            CBOR_NATIVE_ACCELERATION_DISABLED: "true",
             SNIPEROAD_NODE_FILE: path,
             SNIPEROAD_WRITE_CACHE: number === 0 ? "1" : "",
         };
