--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -9,6 +9,7 @@
 const program = "target/sniperoad.cjs";
 const cache = "target/bundle.cache";
 const warmUp = "target/warm-up.mjs";
+const runTimeoutMs = 30_000;
 const packages = ["core", "operator", "daemon", "gateway"];
 
 await build({
@@ -88,28 +89,28 @@
 const runCommand = /^run = "node (?<flags>.*?)\s*target\/sniperoad\.cjs"$/m.exec(
     readFileSync("deploy/system.toml", "utf8"),
 );
-const nodeFlags = runCommand.groups.flags.split(" ").filter(flag => flag !== "");
-const run = (args, variables) =>
-    execFileSync(process.execPath, args, { env: { ...process.env, ...variables }, stdio: "ignore" });
-
-rmSync(cache, { force: true });
-try {
-    // Functions that are compiled during requests are part of the cache too.
-    run([warmUp, program, ...nodeFlags]);
-}
-catch {
-    process.stderr.write("the warm-up failed; the code cache holds only what a start uses\n");
+const nodeFlags = (runCommand?.groups?.flags ?? "").split(" ").filter(flag => flag !== "");
+/** Runs node; returns whether it ended without an error. */
+const run = (args, variables) => {
     try {
-        // Without a settings file the program loads all its code and exits with an error.
-        run([...nodeFlags, program], { SNIPEROAD_WRITE_CACHE: "1", SNIPEROAD_NODE_FILE: "" });
+        const env = { ...process.env, ...variables };
+        execFileSync(process.execPath, args, { env, stdio: "ignore", timeout: runTimeoutMs });
+        return true;
     }
     catch {
-        // The program is expected to fail, since the settings file is missing.
+        return false;
+    }
+};
+const isCacheAccepted = () => run([...nodeFlags, program], { SNIPEROAD_CHECK_CACHE: "1" });
+
+rmSync(cache, { force: true });
+// Functions that are compiled during requests are part of the cache too.
+run([warmUp, program, ...nodeFlags]);
+if (!isCacheAccepted()) {
+    process.stderr.write("The warm-up failed; the code cache holds only what a start uses.\n");
+    // Without a settings file the program loads all its code and exits with an error.
+    run([...nodeFlags, program], { SNIPEROAD_WRITE_CACHE: "1", SNIPEROAD_NODE_FILE: "" });
+    if (!isCacheAccepted()) {
+        process.stderr.write("V8 rejects the code cache; starts take longer.\n");
     }
-}
-try {
-    run([...nodeFlags, program], { SNIPEROAD_CHECK_CACHE: "1" });
-}
-catch {
-    process.stderr.write("V8 rejects the code cache; starts take longer\n");
 }
