--- a/packages/gateway/src/lib/admission-components.ts
+++ b/packages/gateway/src/lib/admission-components.ts
@@ -31,7 +31,7 @@
     willing: WillingUpstreams,
     metrics: Pick<GatewayMetrics, "recordRejection">,
 ): AdmissionComponents => {
-    const { upstreams, load, gray, statements, exchange, config, rates } = fleet;
+    const { upstreams, load, gray, exchange, config, rates } = fleet;
     const answerTimes = new AnswerTimes<RouteId>(clock);
     const serviceTimes = new AnswerTimes<ServiceId>(clock);
     const accepting = (service: ServiceId) => willing.accepting(upstreams.forService(service));
@@ -39,7 +39,7 @@
         inFlight: upstream => load.inFlight(upstream),
         grayProbability: upstream => gray.probability(upstream),
         isBackingOff: upstream => paths.isBackingOff(upstream),
-        limitPerSecond: listed => statements.limitOf(listed),
+        limitPerSecond: listed => willing.limitOf(listed),
         answerTimeMs: serviceTimes.quantile(service, 0.5),
     });
     const utilization = (service: ServiceId): number => utilizationOf(accepting(service), stateOf(service), clock);
--- a/packages/gateway/src/lib/fleet/fleet-exchange.ts
+++ b/packages/gateway/src/lib/fleet/fleet-exchange.ts
@@ -2,21 +2,23 @@
 import type { Clock, LogPort, Random, Timer } from "@sniperoad/core";
 import type { GatewayInstance } from "../model.js";
 import { instanceKey } from "../name-key.js";
+import type { SharedOutage } from "../statements/upstream-outages.js";
 import type { SharedStatement } from "../statements/upstream-statements.js";
+import { sharedCollections } from "../store/state-messages.js";
 import type { SharedCollection } from "../store/state-messages.js";
 import { AggregatorSelector } from "./aggregator-selector.js";
 import { direct } from "./datagrams.js";
 import type { Datagram, HeartbeatPurpose, Message, UpstreamsMessage } from "./datagrams.js";
 import { digestIntervalOf, urgentGapOf } from "./digest-interval.js";
 import { DigestPublisher } from "./digest-publisher.js";
-import type { DigestCount, ZoneDigest, ZoneLoads } from "./digest.js";
+import type { DigestCount, ZoneDigest } from "./digest.js";
 import { Discovery } from "./discovery.js";
 import { Distributor } from "./distributor.js";
 import { EarliestTimer } from "./earliest-timer.js";
 import { FleetView } from "./fleet-view.js";
 import { omittedEntryCount } from "./heartbeat-codec.js";
 import { instanceInfo } from "./heartbeat.js";
-import type { CollectionState, Heartbeat } from "./heartbeat.js";
+import type { CollectionStates, Heartbeat } from "./heartbeat.js";
 import type { DatagramPort } from "./ports.js";
 import { RosterUpdater } from "./roster-updater.js";
 import type { Member, Roster } from "./roster.js";
@@ -55,7 +57,7 @@
     readonly usageWindowMs: () => number;
     /** Provides the payload of the next heartbeat, and forgets what is reported only once. */
     readonly takePayload: () => HeartbeatPayload;
-    readonly collections: () => Readonly<Record<SharedCollection, CollectionState>>;
+    readonly collections: () => CollectionStates;
     /** Called with the outcomes and crashes of other instances, possibly repeatedly. */
     readonly onOutcomes: (batch: OutcomeBatch) => void;
     readonly onSuccesses: (successes: readonly DigestCount[]) => void;
@@ -64,6 +66,8 @@
     readonly onUpstreams: (message: UpstreamsMessage) => void;
     /** Called with what upstreams have stated to other instances, possibly repeatedly. */
     readonly onStatements: (statements: readonly SharedStatement[]) => void;
+    /** Called with outages of upstreams that other instances have noticed. */
+    readonly onOutages: (outages: readonly SharedOutage[]) => void;
 }
 
 /**
@@ -108,7 +112,7 @@
             intervalMs: () => this.digestIntervalMs(),
             urgentGapMs: isStandby => urgentGapOf(this.#zoneSize, isStandby),
             onDigest: digest => this.#applyDigest(digest),
-            onLoads: loads => this.#applyLoads(loads),
+            onLoads: loads => this.#options.onSuccesses(this.view.applyLoads(loads)),
         });
         this.#earlyHeartbeat = new EarliestTimer(clock, () => this.#sendEarlyHeartbeat());
         this.#selector = new AggregatorSelector(clock, () => this.digestIntervalMs());
@@ -267,7 +271,7 @@
             this.#applyDigest(message.digest);
         }
         else if (message.kind === "loads") {
-            this.#applyLoads(message.loads);
+            this.#options.onSuccesses(this.view.applyLoads(message.loads));
         }
         else if (message.kind === "outcomes") {
             this.#options.onOutcomes(message);
@@ -275,6 +279,9 @@
         else if (message.kind === "statements") {
             this.#options.onStatements(message.statements);
         }
+        else if (message.kind === "outages") {
+            this.#options.onOutages(message.outages);
+        }
         else if (message.kind === "identities") {
             this.#discovery.receiveIdentities(message.infos);
         }
@@ -292,11 +299,13 @@
         const key = instanceKey(heartbeat.id);
         roster.learn(instanceInfo(heartbeat));
         this.#rosterUpdater.recordHeard(key, instanceInfo(heartbeat), heartbeat, 0);
-        for (const collection of ["config", "upstreams"] as const) {
-            const { revision, confirmedAgeMs, reader } = heartbeat[collection];
-            roster.recordRevision(key, collection, revision);
-            roster.recordReader(key, collection, reader, 0);
-            onRevision(collection, revision, confirmedAgeMs);
+        for (const collection of sharedCollections) {
+            const stated = heartbeat[collection];
+            if (stated !== undefined) {
+                roster.recordRevision(key, collection, stated.revision);
+                roster.recordReader(key, collection, stated.reader, 0);
+                onRevision(collection, stated.revision, stated.confirmedAgeMs);
+            }
         }
         if (purpose === "report") {
             this.#publisher.recordReport(heartbeat, isUrgent);
@@ -335,12 +344,7 @@
                 this.#discovery.recordUnidentified(member.key, aggregator);
             }
         }
-        this.#rosterUpdater.applyCollection("config", digest);
-        this.#rosterUpdater.applyCollection("upstreams", digest);
+        sharedCollections.forEach(collection => this.#rosterUpdater.applyCollection(collection, digest));
         onSuccesses(this.view.apply(digest));
     }
-
-    #applyLoads(loads: ZoneLoads): void {
-        this.#options.onSuccesses(this.view.applyLoads(loads));
-    }
 }
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -3,8 +3,11 @@
 import { splitAddress, TcpPeers } from "@sniperoad/daemon";
 import { FleetLoad } from "./balance/fleet-load.js";
 import type { RemoteLoads } from "./balance/fleet-load.js";
+import { RetryBudget } from "./balance/retry-budget.js";
+import type { RemoteAttempts } from "./balance/retry-budget.js";
 import type { DirectoryResponse } from "./fleet/directory.js";
 import { FleetExchange } from "./fleet/fleet-exchange.js";
+import type { Heartbeat } from "./fleet/heartbeat.js";
 import { Roster } from "./fleet/roster.js";
 import { UdpDatagrams } from "./fleet/udp-datagrams.js";
 import { GrayFailureEstimator } from "./health/gray-failure-estimator.js";
@@ -16,16 +19,21 @@
 import type { FleetSize, RemoteRates } from "./rates/fleet-rate-limiter.js";
 import { CrashTracker } from "./request/crash-tracker.js";
 import type { HeaderCodec } from "./request/ports.js";
-import type { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
 import { CurrentConfig } from "./routing/current-config.js";
 import type { GatewaySettings } from "./settings.js";
+import { createSlowStart } from "./slow-start-components.js";
+import type { ColdUpstreams } from "./statements/cold-upstreams.js";
 import { LimitMeters } from "./statements/limit-meters.js";
+import { UpstreamOutages } from "./statements/upstream-outages.js";
+import type { SharedOutage } from "./statements/upstream-outages.js";
 import { UpstreamStatements } from "./statements/upstream-statements.js";
 import type { SharedStatement } from "./statements/upstream-statements.js";
+import type { WarmupPermits } from "./statements/warmup-permits.js";
 import { FleetState } from "./store/fleet-state.js";
 import { InstanceRecords } from "./store/instance-records.js";
 import type { StorePort } from "./store/ports.js";
 import { UpstreamRegistry } from "./store/upstream-registry.js";
+import { EvacuationRegistry } from "./store/zone-evacuations.js";
 
 const bytesPerMegabit = 125_000;
 
@@ -70,14 +78,20 @@
     readonly records: InstanceRecords;
     readonly config: CurrentConfig;
     readonly upstreams: UpstreamRegistry;
+    /** Undefined where zones are not evacuated. */
+    readonly evacuations: EvacuationRegistry | undefined;
     readonly gray: GrayFailureEstimator;
     readonly load: FleetLoad;
     readonly rates: FleetRateLimiter;
+    readonly retryBudget: RetryBudget;
     readonly floor: UpstreamFloor;
     readonly outcomes: SharedOutcomes;
     readonly crashes: CrashTracker;
     readonly statements: UpstreamStatements;
     readonly meters: LimitMeters;
+    readonly outages: UpstreamOutages;
+    readonly permits: WarmupPermits;
+    readonly cold: ColdUpstreams;
     /** Adds a function that is called with the requests of other instances that an upstream has ended. */
     readonly onCompleted: (listener: (upstream: UpstreamId, count: number) => void) => void;
     /** Whether requests from callers are accepted. */
@@ -103,15 +117,13 @@
 export const createFleetComponents = async (options: GatewayOptions, setup: FleetSetup): Promise<FleetComponents> => {
     const { clock, random, log, sha256, settings } = options;
     const { self, flags, store, onConfig } = setup;
-    const { host, port } = splitAddress(self.peerAddress);
-    const datagrams = await UdpDatagrams.open(self.peerAddress, log);
-    const peers = new TcpPeers({ self: self.id, clock, log });
-    await peers.listen(host, port);
+    const { datagrams, peers } = await openSockets(options, self);
     const announce = (): void => exchange.sendHeartbeatSoon();
     const roster = new Roster(clock);
     const fleetSize = (): FleetSize => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
     const config = new CurrentConfig(sha256);
     const upstreams = new UpstreamRegistry(clock, upstream => resetUpstream(upstream, evidence, log));
+    const evacuations = createEvacuations(options);
     const evidence: Evidence = createEvidence(options, upstreams, {
         ownKey: instanceKey(self.id),
         announce,
@@ -120,9 +132,9 @@
         remoteRates: remoteRatesOf(() => exchange),
         fleetSize,
         shareStatements: heard => exchange.sendToAll({ kind: "statements", statements: heard }),
+        shareOutages: outages => exchange.sendToAll({ kind: "outages", outages }),
     });
-    const { outcomes, crashes, rates, load, statements } = evidence;
-    const endsAtMs = (): number | undefined => flags.endsAtMs;
+    const { outcomes, crashes, rates, retryBudget, load, statements } = evidence;
     const isReady = (): boolean => state.isComplete && !flags.isLeaving;
     const common = { self, clock, random, sha256, log, roster };
     const state: FleetState = new FleetState({
@@ -131,10 +143,8 @@
         peers,
         config,
         upstreams,
-        announce: () => {
-            announce();
-            exchange.announceState();
-        },
+        evacuations,
+        announce: () => announceState(exchange),
         sendToAll: message => exchange.sendToAll(message),
         digestIntervalMs: () => exchange.digestIntervalMs(),
         transferBytesPerSecond: () => settings().linkMbps * bytesPerMegabit * settings().transferLinkShare,
@@ -149,7 +159,7 @@
             isReady: isReady(),
             isLeaving: flags.isLeaving,
             ...state.collectionStates(),
-            ...rates.take(),
+            ...joinUsage(retryBudget.take(), rates.take()),
             inFlight: load.report(),
             ...outcomes.take(),
             crashes: crashes.report(),
@@ -163,6 +173,7 @@
         onRevision: (collection, revision, ageMs) => state.recordRevision(collection, revision, ageMs),
         onUpstreams: message => state.receiveUpstreamChanges(message),
         onStatements: heard => statements.recordShared(heard),
+        onOutages: outages => evidence.outages.recordShared(outages),
     });
     const records = createRecords(options, setup, { roster, exchange, state });
     return {
@@ -174,15 +185,39 @@
         records,
         config,
         upstreams,
+        evacuations,
         ...evidence,
+        ...createSlowStart(options, setup, { roster, config, upstreams, evacuations, outages: evidence.outages }),
         isReady,
-        endsAtMs,
+        endsAtMs: () => flags.endsAtMs,
         fleetSize,
     };
 };
 
-const createRecords = (
+/** Notifies the other instances immediately of a new state, also as an aggregator. */
+const announceState = (exchange: FleetExchange): void => {
+    exchange.sendHeartbeatSoon();
+    exchange.announceState();
+};
+
+const createEvacuations = ({ clock, log, settings }: GatewayOptions): EvacuationRegistry | undefined => {
+    const boundMs = settings().zoneEvacuationMs;
+    return boundMs === undefined ? undefined : new EvacuationRegistry({ clock, log, boundMs });
+};
+
+const openSockets = async (
     { clock, log }: GatewayOptions,
+    self: GatewayInstance,
+): Promise<Pick<FleetComponents, "datagrams" | "peers">> => {
+    const { host, port } = splitAddress(self.peerAddress);
+    const datagrams = await UdpDatagrams.open(self.peerAddress, log);
+    const peers = new TcpPeers({ self: self.id, clock, log });
+    await peers.listen(host, port);
+    return { datagrams, peers };
+};
+
+const createRecords = (
+    { clock, log, random }: GatewayOptions,
     { self, store }: FleetSetup,
     { roster, exchange, state }: Pick<FleetComponents, "roster" | "exchange" | "state">,
 ): InstanceRecords =>
@@ -190,35 +225,56 @@
         self,
         clock,
         log,
+        random,
         store,
+        epoch: () => state.epoch,
         isReader: () => state.isReader,
         isIsolated: () => roster.live().length === 0,
         isLive: address => roster.isLive(address),
         contact: address => exchange.contact(address),
     });
 
-const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates => ({
+/** What a heartbeat reports of rates and retry budgets. */
+type ReportedUsage = Pick<Heartbeat, "usage" | "hasScarceUsage">;
+
+const joinUsage = (first: ReportedUsage, second: ReportedUsage): ReportedUsage => ({
+    usage: [...first.usage, ...second.usage],
+    hasScarceUsage: first.hasScarceUsage || second.hasScarceUsage,
+});
+
+const remoteRatesOf = (exchange: () => FleetExchange): RemoteRates & RemoteAttempts => ({
     usage: key => exchange().view.usage(key),
     reportDelayMs: () => exchange().reportDelayMs(),
-    uncoveredShare: () => exchange().view.uncoveredShare(),
+    uncoveredShare: (windowMs?: number) => exchange().view.uncoveredShare(windowMs),
     onScarce: () => exchange().sendUsageSoon(),
 });
 
 /** State about upstreams, loads and rates, derived from the requests of all instances. */
 type Evidence = Pick<
     FleetComponents,
-    "gray" | "load" | "rates" | "floor" | "outcomes" | "crashes" | "statements" | "meters" | "onCompleted"
+    | "gray"
+    | "load"
+    | "rates"
+    | "retryBudget"
+    | "floor"
+    | "outcomes"
+    | "crashes"
+    | "statements"
+    | "meters"
+    | "outages"
+    | "onCompleted"
 >;
 
 const createEvidence = (
     { clock, random, settings, log }: GatewayOptions,
     upstreams: UpstreamRegistry,
-    { ownKey, announce, onLoad, remoteLoads, remoteRates, shareStatements, fleetSize }: EvidenceSetup,
+    { ownKey, announce, onLoad, remoteLoads, remoteRates, shareStatements, shareOutages, fleetSize }: EvidenceSetup,
 ): Evidence => {
     const gray = new GrayFailureEstimator(clock);
     const serviceOf = (upstream: UpstreamId) => upstreams.get(upstream)?.listed.service;
     const upstreamsOf = (key: number) => upstreams.idsOf(key);
     const floor = new UpstreamFloor({ clock, random, floorShare: () => settings().floorShare, serviceOf });
+    const listedOf = (key: number) => upstreamsOf(key).flatMap(upstream => upstreams.get(upstream)?.listed ?? []);
     const meters = new LimitMeters({
         clock,
         remoteInFlight: upstream => remoteLoads.inFlight(nameKey(upstream)),
@@ -234,15 +290,17 @@
         gray,
         floor,
         meters,
-        statements: new UpstreamStatements({
+        statements: new UpstreamStatements({ clock, random, log, listedOf, share: shareStatements }),
+        outages: new UpstreamOutages({ clock, listedOf, share: shareOutages }),
+        load: new FleetLoad(onLoad, remoteLoads),
+        rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
+        retryBudget: new RetryBudget({
             clock,
             random,
-            log,
-            listedOf: key => upstreamsOf(key).flatMap(upstream => upstreams.get(upstream)?.listed ?? []),
-            share: shareStatements,
+            limits: () => retryOptions(settings()),
+            remote: remoteRates,
+            reach: fleetSize,
         }),
-        load: new FleetLoad(onLoad, remoteLoads),
-        rates: new FleetRateLimiter({ clock, random, limits: () => rateOptions(settings()), remote: remoteRates }),
         outcomes: new SharedOutcomes({ clock, gray, floor, ownKey, upstreamsOf, announce, onRemote }),
         crashes: new CrashTracker({ clock, ownKey, upstreamsOf, announce }),
     };
@@ -256,10 +314,12 @@
     /** Called when the requests in flight change. */
     readonly onLoad: () => void;
     readonly remoteLoads: RemoteLoads;
-    readonly remoteRates: RemoteRates;
+    readonly remoteRates: RemoteRates & RemoteAttempts;
     readonly fleetSize: () => FleetSize;
     /** Sends statements of upstreams to all other instances. */
     readonly shareStatements: (statements: readonly SharedStatement[]) => void;
+    /** Sends outages of upstreams to all other instances. */
+    readonly shareOutages: (outages: readonly SharedOutage[]) => void;
 }
 
 /** Resets what was measured of the previous process of an upstream. */
@@ -268,26 +328,11 @@
     gray.reset(upstream);
 };
 
-/** Removes the state of upstreams that are no longer listed. */
-export const pruneState = (
-    { upstreams, gray, floor, statements, meters }: FleetComponents,
-    connections: UpstreamConnectionPool,
-): void => {
-    const isListed = (upstream: Parameters<UpstreamRegistry["get"]>[0]): boolean =>
-        upstreams.get(upstream) !== undefined;
-    gray.retain(isListed);
-    floor.retain(isListed);
-    statements.retain(isListed);
-    meters.retain(upstream => {
-        const known = upstreams.get(upstream);
-        return known !== undefined && statements.limitOf(known.listed) !== undefined;
-    });
-    connections.retain(upstream => {
-        const known = upstreams.get(upstream);
-        return known !== undefined && !statements.isLeaving(known.listed);
-    });
-    statements.renew();
-};
+const retryOptions = ({ retryShare, retryBurst, retryWindowSeconds }: GatewaySettings) => ({
+    share: retryShare,
+    burst: retryBurst,
+    windowMs: retryWindowSeconds * 1_000,
+});
 
 const rateOptions = ({ rateWindowSeconds, rateOverage, rateSlack }: GatewaySettings) => ({
     windowMs: rateWindowSeconds * 1_000,
--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -10,6 +10,9 @@
     /** Seconds for which a newer configuration has been known than the one in force. */
     readonly configBehindSeconds: () => number;
     readonly upstreams: () => number;
+    readonly evacuatedZones: () => number;
+    /** Upstreams that get few requests since they warm up. */
+    readonly coldUpstreams: () => number;
     readonly instancesHeard: () => number;
     readonly isReady: () => boolean;
     readonly inFlight: () => number;
@@ -43,6 +46,18 @@
         buckets: latencyBuckets,
         registers: [this.#registry],
     });
+    readonly #hedges = new Counter({
+        name: "sniperoad_hedged_requests_total",
+        help: "Requests that were also sent to a second upstream, and those that it answered first",
+        labelNames: ["result"],
+        registers: [this.#registry],
+    });
+    readonly #hedgesDenied = new Counter({
+        name: "sniperoad_hedges_denied_total",
+        help: "Slow requests that were not sent to a second upstream, by reason",
+        labelNames: ["reason"],
+        registers: [this.#registry],
+    });
     readonly #storeCalls = new Counter({
         name: "sniperoad_store_calls_total",
         help: "Calls to the object store by kind and result",
@@ -64,6 +79,8 @@
             sources.configBehindSeconds,
         );
         this.#gauge("sniperoad_upstreams", "Upstreams listed", sources.upstreams);
+        this.#gauge("sniperoad_evacuated_zones", "Zones whose upstreams get no requests", sources.evacuatedZones);
+        this.#gauge("sniperoad_upstreams_cold", "Upstreams that warm up", sources.coldUpstreams);
         this.#gauge("sniperoad_instances_heard", "Other instances heard", sources.instancesHeard);
         this.#gauge("sniperoad_ready", "1 if callers are taken", () => sources.isReady() ? 1 : 0);
         this.#gauge("sniperoad_in_flight", "Requests at upstreams", sources.inFlight);
@@ -84,6 +101,14 @@
         this.#storeCalls.inc({ call, result });
     }
 
+    recordHedge(result: string): void {
+        this.#hedges.inc({ result });
+    }
+
+    recordHedgeDenied(reason: string): void {
+        this.#hedgesDenied.inc({ reason });
+    }
+
     /** Records a rejection by admission; see `RejectionCause`. */
     recordRejection(rank: number, cause: string): void {
         this.#rejections.inc({ rank: String(rank), cause });
--- a/packages/gateway/src/lib/request-components.ts
+++ b/packages/gateway/src/lib/request-components.ts
@@ -1,10 +1,12 @@
 /** Creates the components that handle requests from callers. */
 import { createAdmissionComponents } from "./admission-components.js";
 import type { ServicePressures } from "./admission/service-pressures.js";
-import { RetryBudget } from "./balance/retry-budget.js";
+import { Hedging } from "./balance/hedging.js";
+import type { HedgingOptions } from "./balance/hedging.js";
 import { UpstreamSelector } from "./balance/upstream-selector.js";
 import type { FleetComponents, GatewayOptions } from "./gateway-components.js";
 import { PathBackoff } from "./health/path-backoff.js";
+import type { GatewayRoute } from "./model.js";
 import type { GatewayMetrics } from "./observe/metrics.js";
 import { RequestHandler } from "./request/request-handler.js";
 import type { UpstreamConnectionPool } from "./request/upstream-connection-pool.js";
@@ -31,15 +33,15 @@
     connections: UpstreamConnectionPool,
 ): RequestComponents => {
     const { clock, random, log, sha256, headers, settings } = options;
-    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters } = fleet;
+    const { upstreams, gray, load, outcomes, crashes, state, config, rates, floor, statements, meters, retryBudget } =
+        fleet;
+    const { evacuations, outages, cold, fleetSize: reach } = fleet;
     const paths = new PathBackoff(clock);
-    const willing = new WillingUpstreams({ clock, random, statements, meters, reach: fleet.fleetSize });
+    const willing = new WillingUpstreams({ clock, random, statements, meters, cold, reach, evacuations });
     const decisions = createAdmissionComponents(options, fleet, paths, willing, metrics);
     const { admission, pressures, utilization, answerTimes, serviceTimes } = decisions;
-    const retryBudget = new RetryBudget(clock, () => {
-        const { retryShare, retryBurst, retryWindowSeconds } = settings();
-        return { share: retryShare, burst: retryBurst, windowMs: retryWindowSeconds * 1_000 };
-    });
+    const hasHope = ({ id, targetLatencyMs }: Pick<GatewayRoute, "id" | "targetLatencyMs">, leftMs: number): boolean =>
+        admission.hasHope({ route: id, targetLatencyMs }, leftMs);
     const dispatcher = new UpstreamDispatcher({
         clock,
         log,
@@ -53,10 +55,14 @@
         retryBudget,
         meters,
         statements,
+        outages,
         candidates: service => willing.among(upstreams.forService(service)),
         crashes,
-        hasHope: ({ id, targetLatencyMs }, leftMs) => admission.hasHope({ route: id, targetLatencyMs }, leftMs),
-        hasRoom: service => utilization(service) < 1,
+        hasHope,
+        hedging: createHedging(options, fleet, metrics, {
+            hasHope,
+            hasRoom: service => utilization(service) < 1,
+        }),
         answerTimeMs: service => serviceTimes.quantile(service, 0.25),
         onAnswer: ({ route, service }, tookMs) => {
             answerTimes.record(route.id, tookMs);
@@ -88,6 +94,22 @@
     return { connections, handler, metrics, review: () => pressures.review(), pressures };
 };
 
+const createHedging = (
+    { clock, random, settings }: GatewayOptions,
+    { retryBudget }: FleetComponents,
+    metrics: GatewayMetrics,
+    limits: Pick<HedgingOptions, "hasHope" | "hasRoom">,
+): Hedging =>
+    new Hedging({
+        clock,
+        random,
+        share: () => settings().hedgeShare,
+        retryBudget,
+        ...limits,
+        onHedge: result => metrics.recordHedge(result),
+        onDenied: reason => metrics.recordHedgeDenied(reason),
+    });
+
 /**
  * Returns why the configuration counts as unconfirmed: a change that must be in force by now could have been missed.
  * Undefined if it is confirmed, or if the settings do not refuse unconfirmed configurations.
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -38,6 +38,8 @@
     retryBurst: z.number().min(0),
     /** Window over which additional attempts are counted; a change applies only to services first seen afterwards. */
     retryWindowSeconds: positive.default(10),
+    /** Hedged requests as a share of a service's requests of the last 10 s; default: only the retry budget limits them. */
+    hedgeShare: z.number().min(0).optional(),
     /** Window over which the rate of an organisation is counted. */
     rateWindowSeconds: positive,
     /** Fraction by which an organisation's count in a window may exceed the limit of its rate and burst. */
@@ -61,6 +63,12 @@
      * are rejected by rank and organisation. 0: requests are rejected by their number for each slot only.
      */
     admissionWaitShare: z.number().min(0).max(1).default(0),
+    /** Time within which the evacuation of a zone must be in force; without it, evacuations are not read. */
+    zoneEvacuationMs: positive.optional(),
+    /** Multiple of the rate that a cold upstream tolerates by which its requests of any second are bounded. */
+    warmupOverage: positive.default(1),
+    /** Number of requests by which the requests of a second may exceed this bound in addition. */
+    warmupSlack: z.number().min(0).default(0),
 });
 
 /** Validated settings. */
--- a/packages/gateway/src/lib/store/shared-state.ts
+++ b/packages/gateway/src/lib/store/shared-state.ts
@@ -2,7 +2,7 @@
 import { id } from "@sniperoad/core";
 import type { OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "@sniperoad/core";
 import * as z from "zod";
-import type { GatewayConfig, KeyHash, ListedUpstream } from "../model.js";
+import type { Evacuation, GatewayConfig, KeyHash, ListedUpstream } from "../model.js";
 
 const nonNegative = z.number().min(0);
 const positive = z.number().positive();
@@ -29,10 +29,18 @@
     burst: nonNegative,
 }).transform(organisation => ({ ...organisation, priority: organisation.priority }));
 
+const serviceSchema = z.object({
+    id: service,
+    warmupMs: nonNegative,
+    warmupRequestsPerSecond: positive.optional(),
+}).transform(declared => ({ ...declared, warmupRequestsPerSecond: declared.warmupRequestsPerSecond }));
+
 const configSchema = z.object({
     version: z.number().int().min(1),
     routes: z.array(routeSchema),
     organisations: z.array(organisationSchema),
+    /** Absent in states of earlier releases. */
+    services: z.array(serviceSchema).default([]),
     limits: z.object({
         maxHeaderBytes: positive,
         maxBodyBytes: positive,
@@ -50,6 +58,7 @@
     slots: z.number().int().min(1),
     warmupLeftMs: nonNegative,
     startedMs: z.number(),
+    entryRevision: z.number().int().min(0).optional(),
 });
 
 /**
@@ -73,3 +82,13 @@
  */
 export const decodeSharedUpstreams = (value: unknown): readonly ListedUpstream[] =>
     z.object({ upstreams: z.array(upstreamSchema) }).parse(value).upstreams;
+
+const evacuationSchema = z.object({ zone: z.string().min(1).transform(name => id<ZoneId>(name)) });
+
+/**
+ * Decodes a list of evacuations of another instance.
+ *
+ * @throws ZodError that names the invalid fields
+ */
+export const decodeSharedEvacuations = (value: unknown): readonly Evacuation[] =>
+    z.object({ evacuations: z.array(evacuationSchema) }).parse(value).evacuations;
--- a/packages/gateway/src/lib/testing/fixtures.ts
+++ b/packages/gateway/src/lib/testing/fixtures.ts
@@ -1,6 +1,8 @@
 /** Test fixtures. */
 import { id } from "@sniperoad/core";
-import type { OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "@sniperoad/core";
+import type { Clock, OrganisationId, RouteId, ServiceId, UpstreamId, ZoneId } from "@sniperoad/core";
+import { RetryBudget } from "../balance/retry-budget.js";
+import type { RetryBudgetOptions } from "../balance/retry-budget.js";
 import type { HeartbeatPayload } from "../fleet/fleet-exchange.js";
 import type { CollectionState } from "../fleet/heartbeat.js";
 import type {
@@ -47,6 +49,7 @@
     version: 1,
     routes: [testRoute()],
     organisations: [testOrganisation()],
+    services: [],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 5_000 },
     ...overrides,
 });
@@ -69,6 +72,14 @@
     warmupEndMs: 0,
 });
 
+/** For tests without cold upstreams. */
+export const noColdUpstreams = {
+    of: () => undefined,
+    limitOf: () => undefined,
+    isCold: () => false,
+    isTurningCold: () => false,
+};
+
 /** An answer in which the upstream states nothing about itself. */
 export const noStatement: UpstreamStatement = {
     limitPerSecond: undefined,
@@ -76,6 +87,21 @@
     retryAfterMs: undefined,
 };
 
+/** Retry budget of an instance that is the whole fleet, unless it knows of others that it does not hear. */
+export const aloneBudget = (clock: Clock, limits: RetryBudgetOptions, known = 1): RetryBudget =>
+    new RetryBudget({
+        clock,
+        random: () => 0.5,
+        limits: () => limits,
+        remote: {
+            usage: () => ({ admitted: 0, offered: 0 }),
+            reportDelayMs: () => 600,
+            uncoveredShare: () => 0,
+            onScarce: () => {},
+        },
+        reach: () => ({ live: 1, known }),
+    });
+
 const idleCollectionState: CollectionState = { revision: 0, confirmedAgeMs: undefined, reader: "idle" };
 
 /** Payload of an instance that accepts requests but has neither state nor requests. */
--- a/packages/gateway/src/lib/testing/test-fleet.ts
+++ b/packages/gateway/src/lib/testing/test-fleet.ts
@@ -9,14 +9,19 @@
 import { Roster } from "../fleet/roster.js";
 import type { GatewayInstance } from "../model.js";
 import { CurrentConfig } from "../routing/current-config.js";
+import type { SharedOutage } from "../statements/upstream-outages.js";
 import type { SharedStatement } from "../statements/upstream-statements.js";
 import { FleetState, reviewIntervalMs } from "../store/fleet-state.js";
 import { InstanceRecords } from "../store/instance-records.js";
 import { UpstreamRegistry } from "../store/upstream-registry.js";
+import { EvacuationRegistry } from "../store/zone-evacuations.js";
 import { idlePayload, testHash } from "./fixtures.js";
 import { MemoryDatagrams } from "./memory-datagrams.js";
 import { MemoryStore } from "./memory-store.js";
 
+/** The instances write no log. */
+const log = { event: () => {} };
+
 /** One instance of a {@link TestFleet}. */
 export interface TestInstance {
     readonly self: GatewayInstance;
@@ -25,6 +30,8 @@
     readonly state: FleetState;
     readonly config: CurrentConfig;
     readonly upstreams: UpstreamRegistry;
+    /** Undefined unless the fleet has a bound for evacuations. */
+    readonly evacuations: EvacuationRegistry | undefined;
     /** Whether the instance can reach the store, and whether its calls get no answer; tests change it. */
     readonly reach: { store: boolean; isStoreSilent: boolean; };
     /** Additions to the payload of the next heartbeat; tests change it. */
@@ -34,6 +41,7 @@
         readonly outcomes: DistributedOutcome[];
         readonly successes: DigestCount[];
         readonly statements: SharedStatement[];
+        readonly outages: SharedOutage[];
     };
     /** Announces to the others that it leaves. */
     leave(): void;
@@ -43,6 +51,14 @@
 
 const usageWindowMs = 5_000;
 
+/** Options of {@link TestFleet}. */
+export interface TestFleetOptions {
+    readonly zoneCount?: number;
+    readonly seed?: number;
+    /** Bound of evacuations; undefined: the fleet does not read them. */
+    readonly zoneEvacuationMs?: number;
+}
+
 /**
  * A fleet whose instances start when they are added.
  *
@@ -61,10 +77,12 @@
     /** Bytes per second that each instance may send in transfers; tests change it. */
     transferBytesPerSecond = 50_000_000;
     readonly #zoneCount: number;
+    readonly #zoneEvacuationMs: number | undefined;
     #startedCount = 0;
 
-    constructor({ zoneCount = 3, seed = 7 }: { readonly zoneCount?: number; readonly seed?: number; } = {}) {
+    constructor({ zoneCount = 3, seed = 7, zoneEvacuationMs }: TestFleetOptions = {}) {
         this.#zoneCount = zoneCount;
+        this.#zoneEvacuationMs = zoneEvacuationMs;
         this.random = seededRandom(seed);
         this.datagrams = new MemoryDatagrams(this.clock, this.random);
         this.network = new FakeNetwork({ clock: this.clock, random: this.random, delayMs: () => 1 });
@@ -130,17 +148,24 @@
         };
     }
 
+    #createEvacuations(): EvacuationRegistry | undefined {
+        const boundMs = this.#zoneEvacuationMs;
+        return boundMs === undefined
+            ? undefined
+            : new EvacuationRegistry({ clock: this.clock, log, boundMs });
+    }
+
     #start(number: number, seeds: readonly string[], incarnation = 0): TestInstance {
         const { clock, random, datagrams, store } = this;
         const self = this.#identity(number, incarnation);
-        const log = { event: () => {} };
         const reach = { store: true, isStoreSilent: false };
         const payload = { next: (): Partial<HeartbeatPayload> => ({}) };
-        const received: TestInstance["received"] = { outcomes: [], successes: [], statements: [] };
+        const received: TestInstance["received"] = { outcomes: [], successes: [], statements: [], outages: [] };
         const flags = { isLeaving: false };
         const roster = new Roster(clock);
         const config = new CurrentConfig(testHash);
         const upstreams = new UpstreamRegistry(clock);
+        const evacuations = this.#createEvacuations();
         const port = store.port(() => reach.store, () => reach.isStoreSilent);
         const { peers } = this.network.join(self.id);
         const state: FleetState = new FleetState({
@@ -154,10 +179,8 @@
             roster,
             config,
             upstreams,
-            announce: () => {
-                exchange.sendHeartbeatSoon();
-                exchange.announceState();
-            },
+            evacuations,
+            announce: () => announceState(exchange),
             sendToAll: message => exchange.sendToAll(message),
             digestIntervalMs: () => exchange.digestIntervalMs(),
             transferBytesPerSecond: () => this.transferBytesPerSecond,
@@ -185,12 +208,15 @@
             onRevision: (collection, revision, ageMs) => state.recordRevision(collection, revision, ageMs),
             onUpstreams: message => state.receiveUpstreamChanges(message),
             onStatements: statements => received.statements.push(...statements),
+            onOutages: outages => received.outages.push(...outages),
         });
         const records = new InstanceRecords({
             self,
             clock,
             log,
+            random,
             store: port,
+            epoch: () => state.epoch,
             isReader: () => state.isReader,
             isIsolated: () => roster.live().length === 0,
             isLive: address => roster.isLive(address),
@@ -207,6 +233,11 @@
             state.stop();
             exchange.stop();
         };
-        return { self, roster, exchange, state, config, upstreams, reach, payload, received, leave, end };
+        return { self, roster, exchange, state, config, upstreams, evacuations, reach, payload, received, leave, end };
     }
 }
+
+const announceState = (exchange: FleetExchange): void => {
+    exchange.sendHeartbeatSoon();
+    exchange.announceState();
+};
