--- a/packages/gateway/src/lib/request/body-buffer.ts
+++ b/packages/gateway/src/lib/request/body-buffer.ts
@@ -1,17 +1,9 @@
 /** Collects the pieces of a body. */
-import { BodyMemory } from "./body-memory.js";
 
 /** Size of a piece below which it is copied; larger ones are kept as they are. */
 const smallPieceBytes = 4_096;
 const firstBlockBytes = 1_024;
 const maxBlockBytes = 65_536;
-/**
- * Size from which the pieces are put together as they arrive, since copying them at the end takes the body's size once
- * more. Below, copying once costs less time.
- */
-const contiguousFromBytes = 1_048_576;
-/** More than the memory for responses that are being read. */
-const maxBytes = 67_108_864;
 
 /**
  * Keeps a body in few buffers. A piece is a view of the buffer of its socket, and each piece has an overhead of its own,
@@ -27,8 +19,6 @@
     #block: Buffer | undefined;
     #blockLength = 0;
     #sizeBytes = 0;
-    /** Has the whole body once it is large. */
-    #contiguous: BodyMemory | undefined;
 
     get sizeBytes(): number {
         return this.#sizeBytes;
@@ -36,38 +26,6 @@
 
     append(piece: Uint8Array): void {
         this.#sizeBytes += piece.length;
-        if (this.#contiguous !== undefined) {
-            this.#contiguous.append(piece);
-            return;
-        }
-        this.#collect(piece);
-        if (this.#sizeBytes > contiguousFromBytes) {
-            this.#putTogether();
-        }
-    }
-
-    /** Returns the body and forgets it. */
-    take(): Uint8Array {
-        if (this.#contiguous !== undefined) {
-            const body = this.#contiguous.take();
-            this.#contiguous = undefined;
-            return body;
-        }
-        this.#endBlock();
-        const buffers = this.#buffers;
-        this.#buffers = [];
-        return buffers.length === 1 ? buffers[0]! : Buffer.concat(buffers);
-    }
-
-    #putTogether(): void {
-        this.#endBlock();
-        const contiguous = new BodyMemory(maxBytes, false);
-        this.#buffers.forEach(buffer => contiguous.append(buffer));
-        this.#buffers = [];
-        this.#contiguous = contiguous;
-    }
-
-    #collect(piece: Uint8Array): void {
         if (piece.length >= smallPieceBytes) {
             this.#endBlock();
             this.#buffers.push(piece);
@@ -82,6 +40,14 @@
         this.#blockLength += piece.length;
     }
 
+    /** Returns the body and forgets it. */
+    take(): Uint8Array {
+        this.#endBlock();
+        const buffers = this.#buffers;
+        this.#buffers = [];
+        return buffers.length === 1 ? buffers[0]! : Buffer.concat(buffers);
+    }
+
     #endBlock(): void {
         if (this.#block !== undefined) {
             this.#buffers.push(this.#block.subarray(0, this.#blockLength));
