--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -66,11 +66,11 @@
      */
     admissionWaitShare: z.number().min(0).max(1).default(0),
     /** Time within which the evacuation of a zone must be in force; without it, evacuations are not read. */
-    zoneEvacuationMs: positive.optional(),
+    zoneEvacuationMs: positive.nullish().transform(value => value ?? undefined),
     /** Multiple of the rate that a cold upstream tolerates by which its requests of any second are bounded. */
-    warmupOverage: positive.default(1),
+    warmupOverage: positive.nullish().transform(value => value ?? 1),
     /** Number of requests by which the requests of a second may exceed this bound in addition. */
-    warmupSlack: z.number().min(0).default(0),
+    warmupSlack: z.number().min(0).nullish().transform(value => value ?? 0),
 });
 
 /** Validated settings. */
