Assume that former admissions were uneven while a restart of all processes is not covered

Change: 0.6 u (1 - u) of the limit is assumed in addition while the share u of the window is not covered.

--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.test.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.test.ts
@@ -178,6 +178,22 @@
     assert.ok(maxInWindow <= bound, `${maxInWindow} in one window, bound ${bound}`);
 });
 
+// Guards against new processes that take the former admissions for evenly spread, although most of them were recent.
+test("admissions in pulses stay within the bound while all processes are replaced", async () => {
+    const organisation = testOrganisation({ ratePerSecond: 165, burst: 165 });
+    for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+        const { maxInWindow } = await simulate({
+            instanceCount: 42,
+            organisation,
+            requestsPerSecond: nowMs => nowMs >= 8_000 && nowMs < 8_300 ? 0 : nowMs % 2_500 < 1_000 ? 250 : 570,
+            share: 1,
+            restartMs: 8_300,
+            seed,
+        });
+        assert.ok(maxInWindow <= boundOf(organisation), `${maxInWindow} of ${boundOf(organisation)}, seed ${seed}`);
+    }
+});
+
 // Guards against new processes that admit the allowed excess, which the former ones may have used up as well.
 test("until the window is covered, new processes leave room for all that the former ones may have admitted", () => {
     const organisation = testOrganisation({ ratePerSecond: 165, burst: 165 });
--- a/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
+++ b/packages/gateway/src/lib/rates/fleet-rate-limiter.ts
@@ -41,6 +41,11 @@
 const demandWindowMs = 600;
 /** Demand, as a multiple of the rate, that is assumed after a restart of all processes until they hear of each other. */
 const assumedDemand = 3;
+/**
+ * Former admissions are rarely spread evenly over the window that no report covers. This times u (1 - u) of the limit is
+ * assumed in addition while the share u is not covered: nothing at both ends, like the deviation of a bridge process.
+ */
+const unevenShare = 0.6;
 /** Share of the limit from which other instances are told of admissions soon. */
 const scarceShare = 0.6;
 /** Time from an admission until others count it, while the limit is near. */
@@ -161,7 +166,7 @@
         const remote = this.#remote.usage(nameKey(organisation.id));
         // Processes that were replaced together may have admitted all that they would.
         const uncoveredShare = this.#remote.uncoveredShare();
-        const assumedBefore = safeBound * uncoveredShare;
+        const assumedBefore = safeBound * uncoveredShare * (1 + unevenShare * (1 - uncoveredShare));
         const used = account.admitted.total() + remote.admitted + assumedUnreachable + assumedBefore + 1;
         const reportDelayMs = used >= bound * scarceShare
             ? Math.min(scarceReportDelayMs, this.#remote.reportDelayMs())
