--- /dev/null
+++ b/review/stand-ins-2/server.mjs
@@ -0,0 +1,158 @@
+/** Stand-in for a server (back end), as PROTOCOL.md describes it. */
+import { createServer } from "node:http";
+
+/** Time from the first part of an answer until the server crashes. */
+const crashInAnswerMs = 50;
+
+/**
+ * Runs requests in slots with a queue behind them, and reports itself to the store. The path of a request can say what it
+ * does: `work` is a function of the request that returns its work in ms,
+ * "crash", or "crash-in-answer".
+ */
+export class Server {
+    #server;
+    #running = 0;
+    #queue = [];
+    #beat;
+    #seq = 0;
+    #born = Date.now();
+    /** Whether the server leaves, as its entry and its answers say. */
+    isLeaving = false;
+    /** Share of the requests that it sheds with 503 and `Not-Executed`. */
+    shedShare = 0;
+    isDown = false;
+
+    constructor({ id, service, zone, slots = 3, queueLength = 12, work, store, record, backAfterMs = 2_000, random }) {
+        Object.assign(this, { id, service, zone, slots, queueLength, work, store, record, backAfterMs, random });
+    }
+
+    async start(host, port = 0) {
+        this.#server = createServer((request, response) => void this.#receive(request, response));
+        this.#server.keepAliveTimeout = 10_000;
+        await new Promise((resolve, reject) => this.#server.once("error", reject).listen(port, host, resolve));
+        this.host = host;
+        this.port = this.#server.address().port;
+        this.isDown = false;
+        this.report();
+        this.#beat = setInterval(() => this.report(), 1_500);
+    }
+
+    /** Writes the entry of the server, which changes when more than `seq` changes. */
+    report() {
+        this.#seq++;
+        this.store.put("servers", this.id, {
+            address: `${this.host}:${this.port}`,
+            born: this.#born,
+            info: { service: this.service, version: "v1", zone: this.zone, slots: this.slots },
+            status: { state: this.isLeaving ? "draining" : "ready", seq: 1, warmup_left_ms: 0 },
+        });
+    }
+
+    /** Ends without a word; the port refuses connections. */
+    stop() {
+        clearInterval(this.#beat);
+        this.isDown = true;
+        this.#queue = [];
+        this.#running = 0;
+        this.#server.close();
+        this.#server.closeAllConnections();
+    }
+
+    async #crash() {
+        if (this.isDown) {
+            return;
+        }
+        this.record("crash", { server: this.id });
+        this.stop();
+        await new Promise(resolve => setTimeout(resolve, this.backAfterMs));
+        this.#born = Date.now();
+        await this.start(this.host, this.port);
+    }
+
+    async #receive(request, response) {
+        const chunks = [];
+        try {
+            for await (const chunk of request) {
+                chunks.push(chunk);
+            }
+        }
+        catch {
+            return;
+        }
+        const { headers, method, url } = request;
+        const requestId = headers["request-id"];
+        const body = Buffer.concat(chunks).toString();
+        const answer = (status, extra = {}, text = "") => {
+            if (response.destroyed) {
+                return;
+            }
+            const load = `${this.#running},${this.#queue.length},${this.slots}`;
+            const leaving = this.isLeaving ? { "server-leaving": "1" } : {};
+            const idHeader = requestId === undefined ? {} : { "request-id": requestId };
+            response.writeHead(status, { ...idHeader, "server-load": load, ...leaving, ...extra });
+            response.end(text);
+        };
+        if (headers["expect-instance"] !== undefined && headers["expect-instance"] !== this.id) {
+            answer(421, { "instance-id": this.id });
+            return;
+        }
+        if (url === "/healthz") {
+            answer(this.isLeaving ? 503 : 200, { "instance-id": this.id });
+            return;
+        }
+        this.record("arrive", { server: this.id, request: requestId, method, url });
+        const isFull = this.#running >= this.slots && this.#queue.length >= this.queueLength;
+        if (isFull || this.random() < this.shedShare) {
+            this.record("reject", { server: this.id, request: requestId });
+            answer(503, { "not-executed": "1" });
+            return;
+        }
+        const beginAnswer = onBegun => {
+            const answerHeaders = {
+                "request-id": requestId,
+                "server-seal": `seal-${requestId}`,
+                "content-length": "1000",
+            };
+            response.writeHead(200, answerHeaders);
+            response.write("the first part of an answer", () => setTimeout(onBegun, crashInAnswerMs));
+        };
+        const job = { request: { requestId, method, url, headers, body }, answer, beginAnswer, isGone: false };
+        response.on("close", () => job.isGone = true);
+        this.#queue.push(job);
+        this.#next();
+    }
+
+    #next() {
+        while (this.#running < this.slots && this.#queue.length > 0) {
+            const job = this.#queue.shift();
+            if (!job.isGone) {
+                this.#run(job);
+            }
+        }
+    }
+
+    #run({ request, answer, beginAnswer }) {
+        const { requestId, method, url } = request;
+        this.record("run", { server: this.id, request: requestId, method, url, tenant: request.headers.tenant });
+        const work = this.work(request);
+        if (work === "crash") {
+            void this.#crash();
+            return;
+        }
+        if (work === "crash-in-answer") {
+            beginAnswer(() => void this.#crash());
+            return;
+        }
+        this.#running++;
+        const generation = this.#born;
+        setTimeout(() => {
+            if (this.isDown || generation !== this.#born) {
+                return;
+            }
+            this.#running--;
+            this.record("ran", { server: this.id, request: requestId });
+            answer(200, { "server-seal": `seal-${requestId}` }, `answer to ${requestId}`);
+            this.#next();
+        }, work);
+    }
+}
