--- a/review/stand-ins-2/server.mjs
+++ b/review/stand-ins-2/server.mjs
@@ -3,6 +3,15 @@
 
 /** Time from the first part of an answer until the server crashes. */
 const crashInAnswerMs = 50;
+/** Time from the first part of a garbled answer to what follows it, and until its connection ends. */
+const refusalAgainMs = 20;
+const garbledEndMs = 500;
+
+/** The last refusal on each connection, as it was sent. */
+const lastRefusals = new WeakMap();
+
+const refusalText = requestId =>
+    `HTTP/1.1 503 Service Unavailable\r\nrequest-id: ${requestId}\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n`;
 
 /**
  * Runs requests in slots with a queue behind them, and reports itself to the store. The path of a request can say what it
@@ -20,6 +29,8 @@
     isLeaving = false;
     /** Share of the requests that it sheds with 503 and `Not-Executed`. */
     shedShare = 0;
+    /** Share of its answers that it breaks off within the head, after which it writes its last refusal once more. */
+    garbledShare = 0;
     isDown = false;
 
     constructor({ id, service, zone, slots = 3, queueLength = 12, work, store, record, backAfterMs = 2_000, random }) {
@@ -104,7 +115,8 @@
         const isFull = this.#running >= this.slots && this.#queue.length >= this.queueLength;
         if (isFull || this.random() < this.shedShare) {
             this.record("reject", { server: this.id, request: requestId });
-            answer(503, { "not-executed": "1" });
+            lastRefusals.set(request.socket, refusalText(requestId));
+            answer(503, { "not-executed": "1", "content-length": "0" });
             return;
         }
         const beginAnswer = onBegun => {
@@ -116,7 +128,22 @@
             response.writeHead(200, answerHeaders);
             response.write("the first part of an answer", () => setTimeout(onBegun, crashInAnswerMs));
         };
-        const job = { request: { requestId, method, url, headers, body }, answer, beginAnswer, isGone: false };
+        const garble = () => {
+            const { socket } = request;
+            const refusal = lastRefusals.get(socket);
+            this.record("garbled", { server: this.id, request: requestId, hasRefusal: refusal !== undefined });
+            // The head ends within the value of its last field.
+            socket.write(
+                `HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nserver-seal: seal-${requestId}\r\nserver-load: 1,0`,
+            );
+            if (refusal === undefined) {
+                socket.end();
+                return;
+            }
+            setTimeout(() => socket.write(refusal), refusalAgainMs);
+            setTimeout(() => socket.destroy(), garbledEndMs);
+        };
+        const job = { request: { requestId, method, url, headers, body }, answer, beginAnswer, garble, isGone: false };
         response.on("close", () => job.isGone = true);
         this.#queue.push(job);
         this.#next();
@@ -131,7 +158,7 @@
         }
     }
 
-    #run({ request, answer, beginAnswer }) {
+    #run({ request, answer, beginAnswer, garble }) {
         const { requestId, method, url } = request;
         this.record("run", { server: this.id, request: requestId, method, url, tenant: request.headers.tenant });
         const work = this.work(request);
@@ -151,6 +178,11 @@
             }
             this.#running--;
             this.record("ran", { server: this.id, request: requestId });
+            if (this.random() < this.garbledShare) {
+                garble();
+                this.#next();
+                return;
+            }
             answer(200, { "server-seal": `seal-${requestId}` }, `answer to ${requestId}`);
             this.#next();
         }, work);
