--- a/review/stand-ins-2/server.mjs
+++ b/review/stand-ins-2/server.mjs
@@ -1,6 +1,9 @@
 /** Stand-in for a server (back end), as PROTOCOL.md describes it. */
 import { createServer } from "node:http";
 
+const beatMs = 1_500;
+/** Heartbeat intervals of silence after which the entry of a server is removed; it starts again under a new id. */
+const silentBeats = 3;
 /** Time from the first part of an answer until the server crashes. */
 const crashInAnswerMs = 50;
 /** Time from the first part of a garbled answer to what follows it, and until its connection ends. */
@@ -24,6 +27,8 @@
     #queue = [];
     #beat;
     #seq = 0;
+    #starts = 1;
+    #firstId;
     #born = Date.now();
     /** Whether the server leaves, as its entry and its answers say. */
     isLeaving = false;
@@ -34,6 +39,7 @@
     isDown = false;
 
     constructor({ id, service, zone, slots = 3, queueLength = 12, work, store, record, backAfterMs = 2_000, random }) {
+        this.#firstId = id;
         Object.assign(this, { id, service, zone, slots, queueLength, work, store, record, backAfterMs, random });
     }
 
@@ -45,7 +51,7 @@
         this.port = this.#server.address().port;
         this.isDown = false;
         this.report();
-        this.#beat = setInterval(() => this.report(), 1_500);
+        this.#beat = setInterval(() => this.report(), beatMs);
     }
 
     /** Writes the entry of the server, which changes when more than `seq` changes. */
@@ -75,8 +81,13 @@
         }
         this.record("crash", { server: this.id });
         this.stop();
+        const formerId = this.id;
+        const lapse = setTimeout(() => this.store.remove("servers", formerId), silentBeats * beatMs);
+        lapse.unref();
         await new Promise(resolve => setTimeout(resolve, this.backAfterMs));
         this.#born = Date.now();
+        this.#starts++;
+        this.id = `${this.#firstId}-${this.#starts}`;
         await this.start(this.host, this.port);
     }
 
