--- a/review/stand-ins-2/case.mjs
+++ b/review/stand-ins-2/case.mjs
@@ -53,7 +53,7 @@
         record("case-failed", { reason });
         void finish();
     };
-    ["SIGTERM", "SIGINT"].forEach(signal => process.once(signal, () => fail(signal)));
+    ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.once(signal, () => fail(signal)));
     process.on("uncaughtException", error => fail(error.stack));
     const isTroubled = process.env.TROUBLE !== "0";
     try {
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -65,6 +65,7 @@
 export class Fleet {
     instances = [];
     #folder = mkdtempSync(join(tmpdir(), "review-"));
+    #isClosed = false;
 
     constructor({ network, count, storeAddress, record }) {
         Object.assign(this, { network, storeAddress, record });
@@ -82,7 +83,11 @@
         await Promise.all(this.instances.map(({ number }) => this.waitUntilReady(number)));
     }
 
+    /** @throws Error after `close`, so that a case that is interrupted leaves no process behind */
     start(number) {
+        if (this.#isClosed) {
+            throw new Error("the fleet is closed");
+        }
         const instance = this.instances[number - 1];
         const path = join(this.#folder, `node-${number}.jsonc`);
         const listen = Object.fromEntries(Object.keys(ports).map(name => [name, this.addressOf(number, name)]));
@@ -156,6 +161,7 @@
 
     /** Ends the processes that this fleet started, and removes its files. */
     async close() {
+        this.#isClosed = true;
         const running = this.instances.filter(({ child, endedMs }) => child !== undefined && endedMs === undefined);
         await Promise.all(running.map(({ child }) =>
             new Promise(resolve => {
