--- a/review/stand-ins-2/client.mjs
+++ b/review/stand-ins-2/client.mjs
@@ -3,7 +3,7 @@
 import { Agent, request as httpRequest } from "node:http";
 
 /** Sends one request and resolves with how it ended: a status, or "closed" without a complete answer. */
-export const send = ({ address, host, method, path, key, deadlineMs, body = "", record, agent, label }) =>
+export const send = ({ address, host, method, path, key, deadlineMs, body = "", record, label }) =>
     new Promise(resolve => {
         const id = randomBytes(8).toString("hex");
         const [hostname, port] = address.split(":");
@@ -23,7 +23,7 @@
         };
         record("sent", { request: id, label, method, path, at: address, deadlineMs });
         const request = httpRequest(
-            { hostname, port, method, path, headers, agent: agent ?? new Agent({ keepAlive: false }) },
+            { hostname, port, method, path, headers, agent: new Agent({ keepAlive: false }) },
             response => {
                 const chunks = [];
                 response.on("data", chunk => chunks.push(chunk));
--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -17,7 +17,7 @@
 const services = ["sightings", "alerts"];
 
 /** The configuration of the examples of `fleetbench wire`, with the timeouts and targets of the sheet. */
-export const configOf = ({ version = 7, routes = {}, tenant = {} } = {}) => {
+const configuration = () => {
     const route = (name, prefix, kind, timeoutMs, targetMs, priority, service) => ({
         name,
         path_prefix: prefix,
@@ -28,10 +28,9 @@
         service,
         max_attempts: 2,
         public: false,
-        ...routes[name],
     });
     return {
-        version,
+        version: 7,
         services: services.map(name => ({
             name,
             health_path: "/healthz",
@@ -40,7 +39,7 @@
             tls: false,
         })),
         limits,
-        tenants: [{ name: "huka270", api_keys: [key], priority: 1, rate_per_s: 0, burst: 0, ...tenant }],
+        tenants: [{ name: "huka270", api_keys: [key], priority: 1, rate_per_s: 0, burst: 0 }],
         virtual_hosts: [{
             host,
             paths: [
@@ -55,14 +54,14 @@
 /** Opens a deployment; what it starts ends with the case. */
 export const openDeployment = async (
     { record, cleanups },
-    { instances, servers, config = configOf(), work, ...rest },
+    { instances, servers, work, backAfterMs },
 ) => {
     const network = await findNetwork();
-    const random = seededRandom(rest.seed ?? 1);
+    const random = seededRandom(1);
     const store = new Store();
     cleanups.push(() => store.close());
     const storeAddress = await store.listen(`${network}.200`);
-    store.put("config", "main", config);
+    store.put("config", "main", configuration());
     const opened = [];
     for (const [service, count] of Object.entries(servers)) {
         for (let index = 1; index <= count; index++) {
@@ -75,17 +74,17 @@
                 store,
                 record,
                 random,
-                backAfterMs: rest.backAfterMs,
+                backAfterMs,
             });
             await server.start(`${network}.${100 + number}`, 8_080);
             cleanups.push(() => server.stop());
             opened.push(server);
         }
     }
-    const fleet = new Fleet({ network, count: instances, storeAddressOf: () => storeAddress, record });
+    const fleet = new Fleet({ network, count: instances, storeAddress, record });
     cleanups.push(() => fleet.close());
     await fleet.startAll();
-    return { network, store, storeAddress, servers: opened, fleet, random };
+    return { servers: opened, fleet };
 };
 
 export { runCase };
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -66,8 +66,8 @@
     instances = [];
     #folder = mkdtempSync(join(tmpdir(), "review-"));
 
-    constructor({ network, count, zones = ["eu-north-a"], storeAddressOf, record }) {
-        Object.assign(this, { network, count, zones, storeAddressOf, record });
+    constructor({ network, count, storeAddress, record }) {
+        Object.assign(this, { network, storeAddress, record });
         for (let number = 1; number <= count; number++) {
             this.instances.push({ number, ip: `${network}.${number}`, child: undefined, output: [] });
         }
@@ -90,11 +90,11 @@
             path,
             render({
                 node: `front-${number}`,
-                zone: this.zones[(number - 1) % this.zones.length],
+                zone: "eu-north-a",
                 ip: instance.ip,
                 listen,
                 seeds: this.instances.slice(0, 3).map(other => this.addressOf(other.number, "control")),
-                platform: { address: this.storeAddressOf(number) },
+                platform: { address: this.storeAddress },
                 bounds,
                 limits: { cpu_share: 0.54, cpu_cores: 1, memory_mb: 350, max_fds: 4_100, link_mbps: 1_000 },
             }),
--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -3,42 +3,24 @@
 
 const pageItems = 500;
 
-/**
- * Keeps objects by kind and name with one revision counter, and serves lists, watches and writes. Each listener can have
- * a fault of its own, so that the store can turn some machines away and serve the others.
- */
+/** Keeps objects by kind and name with one revision counter, and serves lists, watches and writes. */
 export class Store {
     #kinds = new Map();
     #events = [];
     #waiting = new Set();
-    #servers = [];
+    #server;
     #revision = 100;
-    /** Watches from before this revision get 410. */
-    #firstRevision = 100;
-    /** Epoch of the `Store-Era` header; undefined: the header is not sent. */
-    era = undefined;
 
-    get revision() {
-        return this.#revision;
-    }
-
-    /** Opens an address; `faultOf()` returns "silent", "reset", "busy", a delay in ms, or undefined. */
-    async listen(host, faultOf = () => undefined) {
-        const server = createServer((request, response) => void this.#serve(request, response, faultOf));
-        await new Promise((resolve, reject) => server.once("error", reject).listen(0, host, resolve));
-        this.#servers.push(server);
-        return `${host}:${server.address().port}`;
+    /** Opens a free port and returns its address. */
+    async listen(host) {
+        this.#server = createServer((request, response) => void this.#serve(request, response));
+        await new Promise((resolve, reject) => this.#server.once("error", reject).listen(0, host, resolve));
+        return `${host}:${this.#server.address().port}`;
     }
 
     close() {
-        this.#servers.forEach(server => {
-            server.closeAllConnections();
-            server.close();
-        });
-    }
-
-    get(kind, name) {
-        return this.#kind(kind).get(name);
+        this.#server.closeAllConnections();
+        this.#server.close();
     }
 
     /** Writes an object as the operator or a server does. */
@@ -69,23 +51,6 @@
         }
     }
 
-    /** A copy that `restore` takes. */
-    copy() {
-        const kinds = new Map([...this.#kinds].map(([kind, objects]) => [kind, new Map(objects)]));
-        return { kinds, revision: this.#revision };
-    }
-
-    /** Comes back from a copy: later writes are lost, revisions go back, and watches are cut. */
-    restore({ kinds, revision }) {
-        this.#kinds = new Map([...kinds].map(([kind, objects]) => [kind, new Map(objects)]));
-        this.#revision = revision;
-        this.#firstRevision = revision;
-        this.#events = [];
-        this.era = (this.era ?? 0) + 1;
-        this.#servers.forEach(server => server.closeAllConnections());
-        this.#wake();
-    }
-
     #kind(kind) {
         const objects = this.#kinds.get(kind) ?? new Map();
         this.#kinds.set(kind, objects);
@@ -101,22 +66,7 @@
         [...this.#waiting].forEach(wake => wake());
     }
 
-    async #serve(request, response, faultOf) {
-        const fault = faultOf();
-        if (fault === "silent") {
-            return;
-        }
-        if (fault === "reset") {
-            request.socket.resetAndDestroy();
-            return;
-        }
-        if (fault === "busy") {
-            this.#reply(response, 503, {});
-            return;
-        }
-        if (typeof fault === "number") {
-            await new Promise(resolve => setTimeout(resolve, fault));
-        }
+    async #serve(request, response) {
         const chunks = [];
         for await (const chunk of request) {
             chunks.push(chunk);
@@ -165,34 +115,28 @@
     }
 
     async #watch(kind, since, waitMs, response) {
-        const isGone = () => since < this.#firstRevision || since > this.#revision;
+        if (since > this.#revision) {
+            this.#reply(response, 410, {});
+            return;
+        }
         const found = () => this.#events.filter(entry => entry.kind === kind && entry.revision > since);
-        if (!isGone() && found().length === 0 && waitMs > 0) {
+        if (found().length === 0 && waitMs > 0) {
             await new Promise(resolve => {
-                const wake = () => {
-                    if (isGone() || found().length > 0) {
-                        done();
-                    }
-                };
                 const done = () => {
                     clearTimeout(timer);
                     this.#waiting.delete(wake);
                     resolve();
                 };
+                const wake = () => found().length > 0 && done();
                 const timer = setTimeout(done, waitMs);
                 this.#waiting.add(wake);
             });
         }
-        if (isGone()) {
-            this.#reply(response, 410, {});
-            return;
-        }
         this.#reply(response, 200, { events: found().map(({ event }) => event), store_revision: this.#revision });
     }
 
     #reply(response, status, body) {
-        const era = this.era === undefined ? {} : { "store-era": String(this.era) };
-        response.writeHead(status, { "content-type": "application/json", ...era });
+        response.writeHead(status, { "content-type": "application/json" });
         response.end(JSON.stringify(body));
     }
 }
