Count headers and connections in the memory budget of callers

What callers saw: an instance ended with "JavaScript heap out of memory", and all connections with it, when some hundred requests with many short header fields were in progress: while their bodies came, while a server worked, or while they waited behind one another. Each is legal by itself.

Cause: MemoryBudget counted bodies, waiting responses and bytes before the parser. A parsed header, about 0.2 MB of heap for 980 fields, counted nothing, and a connection was a number beside the budget. The heap limit, which is below the memory of the machine, was not known at all. Besides, Node.js drops the header fields beyond 2,000, so a legal request was passed on without them.

Change: HeapBudget is a part of MemoryBudget and counts what lies in the heap, within the limits of both: a header by its bytes as the parser gets them (UnfinishedMeter), by its fields and bytes once it is parsed until the answer, and each connection. Requests beyond it get 503 before anything of them runs; an eighth is left for ordinary headers, and an owner has at most half for large ones. The request is held in one string (compactRequest) and the objects of Node.js are released. Trailers and chunk extensions of over twice the header limit are rejected with 431. The callers' server is split: BoundedServer passes connections on within a budget, CallerServer answers.

--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -55,6 +55,8 @@
     readonly random: Random;
     readonly sha256: Sha256;
     readonly log: LogPort;
+    /** Limit of the old generation of the JavaScript heap; undefined: as much as the memory. */
+    readonly heapMb?: number;
     readonly droppedLogLines: () => number;
     readonly headers: HeaderCodec;
     readonly endpoints: EndpointProtocol;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -8,7 +8,7 @@
 import type { FleetComponents, GatewayFlags, GatewayOptions } from "./gateway-components.js";
 import { openAuxiliaryServer } from "./http/auxiliary-server.js";
 import type { AuxiliaryServer } from "./http/auxiliary-server.js";
-import { callerBoundsOf } from "./http/caller-bounds.js";
+import { createCallerBudgets } from "./http/caller-budgets.js";
 import { CallerServer, defaultCallerLimits } from "./http/caller-server.js";
 import type { GatewayInstance } from "./model.js";
 import { GatewayMetrics } from "./observe/metrics.js";
@@ -48,13 +48,21 @@
  * process.once("SIGTERM", () => void gateway.stop());
  */
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
-    const { clock, log, settings, headers } = options;
+    const { clock, log, settings, headers, heapMb } = options;
     const self = newInstance(settings(), options.random);
+    const { memoryMb, maxDescriptors } = settings();
+    const budgets = createCallerBudgets({
+        clock,
+        log,
+        limits: { memoryMb, heapMb, maxDescriptors },
+        upstreamBytes: () => connections.bufferedBytes,
+        onRejection: reason => metrics.recordCallerRejection(reason),
+    });
     const flags: GatewayFlags = { isLeaving: false, endsAtMs: undefined };
-    const connections = new UpstreamConnectionPool({
+    const connections: UpstreamConnectionPool = new UpstreamConnectionPool({
         clock,
         codec: headers,
-        maxBufferedBytes: bufferedBytesFor(settings().memoryMb),
+        maxBufferedBytes: bufferedBytesFor(memoryMb),
     });
     const metrics: GatewayMetrics = new GatewayMetrics({
         configVersion: () => fleet.config.version,
@@ -71,7 +79,12 @@
         admissionLevel: () => requests.pressures.highestLevel,
     });
     const store = options.openStore((call, result) => metrics.recordStoreCall(call, result));
-    const fleet = await createFleetComponents(options, { self, flags, store, onConfig: () => front.applyLimits() });
+    const fleet = await createFleetComponents(options, {
+        self,
+        flags,
+        store,
+        onConfig: () => front.applyLimits(),
+    });
     const requests = createRequestComponents(options, fleet, metrics, connections);
     const front = await CallerServer.open({
         clock,
@@ -79,13 +92,11 @@
         address: self.callerAddress,
         codec: headers,
         limits: () => fleet.config.current?.config.limits ?? defaultCallerLimits,
-        bounds: callerBoundsOf(settings().memoryMb, settings().maxDescriptors),
-        upstreamBytes: () => connections.bufferedBytes,
+        ...budgets,
         isRepeatable: ({ host, target }) => fleet.config.current?.routes.find(host, target)?.isIdempotent === true,
         organisationOf: ({ key }) => key === undefined ? undefined : fleet.config.current?.keys.find(key)?.id,
         handle: received => requests.handler.handle(received),
         isLeaving: () => flags.isLeaving,
-        onRejection: reason => metrics.recordCallerRejection(reason),
     });
     const auxiliaryServers = await openAuxiliaryServers(options, self, fleet, metrics);
     fleet.exchange.start();
--- a/packages/gateway/src/lib/http/caller-connection.ts
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -20,6 +20,8 @@
     readonly turns: TurnBudget;
     /** Number of bytes that the parser may get now. */
     readonly allowedBytes: () => number;
+    /** Counts bytes before the parser gets them; false if it must not get them. */
+    readonly admit: (sizeBytes: number) => boolean;
     /** Whether a body is on its way that nobody reads. */
     readonly hasUnreadBody: () => boolean;
     /** Counts bytes that wait here for the parser. */
@@ -107,6 +109,9 @@
                 this.#continueLater();
                 break;
             }
+            if (!this.#options.admit(sizeBytes)) {
+                break;
+            }
             passedBytes += sizeBytes;
             this.#isReadWanted = this.push(this.#take(sizeBytes));
         }
@@ -120,6 +125,14 @@
         this.destroy();
     }
 
+    /** Ends the connection with a response to what was sent so far, of which the parser gets no more. */
+    rejectWith(response: string): void {
+        this.headerStartedMs = undefined;
+        this.#isDiscarding = true;
+        this.#dropPending();
+        this.end(response, () => this.#discard());
+    }
+
     /** Called by the HTTP server. */
     setTimeout(timeoutMs: number): this {
         this.#socket.setTimeout(timeoutMs);
@@ -132,12 +145,12 @@
         this.#dropPending();
         const hasUnreadBody = this.#options.hasUnreadBody();
         this.end(() => {
-            if (!hasUnreadBody) {
+            if (hasUnreadBody) {
+                this.#discard();
+            }
+            else {
                 this.destroy();
-                return;
             }
-            this.#socket.resume();
-            this.#discardTimer = this.#options.clock.after(discardMs, () => this.destroy());
         });
     }
 
@@ -182,6 +195,15 @@
         this.pump();
     }
 
+    /** Reads and drops what the caller still sends, for a time. */
+    #discard(): void {
+        if (this.destroyed) {
+            return;
+        }
+        this.#socket.resume();
+        this.#discardTimer = this.#options.clock.after(discardMs, () => this.destroy());
+    }
+
     #countPending(changeBytes: number): void {
         this.#pendingBytes += changeBytes;
         this.#options.countPending(changeBytes);
--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -4,12 +4,14 @@
 import type { Socket } from "node:net";
 import type { CallerLimits } from "../model.js";
 import type { MemoryBudget } from "../request/memory-budget.js";
-import type { CallerBounds } from "./caller-bounds.js";
 import { CallerConnection } from "./caller-connection.js";
 import type { CallerRejection } from "./caller-rejections.js";
+import { pieceBytes } from "./request-body.js";
 import { RequestSequence } from "./request-sequence.js";
-import type { CallerExchange } from "./request-sequence.js";
-import { TurnBudget } from "./turn-budget.js";
+import type { Exchange } from "./request-sequence.js";
+import type { TurnBudget } from "./turn-budget.js";
+import { UnfinishedMeter } from "./unfinished-meter.js";
+import type { UnfinishedExcess } from "./unfinished-meter.js";
 
 /** Time for which a connection without a request in progress must have been idle to make room for a new one. */
 const idleBeforeEvictionMs = 1_000;
@@ -17,12 +19,26 @@
 const crowdedShare = 0.75;
 /** Time for which a caller may take nothing of a response while there is room, and while memory or connections are scarce. */
 const unreadMs = { ample: 10_000, scarce: 2_000 };
+/** Memory of a connection with its parser: its objects, and what lies outside the heap. */
+const connectionHeapBytes = 16_384;
+const connectionNativeBytes = 24_576;
 const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n";
 
+/** Bounds on the connections of one server. */
+export interface ConnectionBounds {
+    readonly maxConnections: number;
+    /** Pipelined requests of all connections that run before their turn. */
+    readonly maxEarlyRequests: number;
+    /** Bytes of responses that wait for callers, above which slow callers are reset early. */
+    readonly maxUnreadBytes: number;
+}
+
 /** A connection with its requests. */
-interface CallerSession {
+interface CallerSession<E extends Exchange> {
     readonly connection: CallerConnection;
-    readonly sequence: RequestSequence;
+    readonly sequence: RequestSequence<E>;
+    /** Counts the header or the trailers that are being read. */
+    readonly meter: UnfinishedMeter;
     /** Whether a request was read from it. */
     hasRequested: boolean;
     /** Monotonic time since when no request is in progress. */
@@ -30,15 +46,18 @@
 }
 
 /** Options of {@link CallerConnections}. */
-export interface CallerConnectionsOptions {
+export interface CallerConnectionsOptions<E extends Exchange> {
     readonly clock: Clock;
     readonly budget: MemoryBudget;
-    readonly bounds: CallerBounds;
+    readonly turns: TurnBudget;
+    readonly bounds: ConnectionBounds;
     readonly limits: () => CallerLimits;
+    /** Response to a connection whose header is too long, or for which there is no memory. */
+    readonly rejectionOf: (excess: UnfinishedExcess) => string;
     readonly reject: (reason: CallerRejection) => void;
     /** Passes a connection to the HTTP server. */
     readonly attach: (connection: CallerConnection) => void;
-    readonly run: (exchange: CallerExchange) => void;
+    readonly run: (exchange: E) => void;
 }
 
 /**
@@ -48,16 +67,14 @@
  * server.on("connection", socket => connections.add(socket));
  * connections.review();
  */
-export class CallerConnections {
-    readonly #options: CallerConnectionsOptions;
-    readonly #turns: TurnBudget;
+export class CallerConnections<E extends Exchange> {
+    readonly #options: CallerConnectionsOptions<E>;
     /** In the order in which they were opened. */
-    readonly #sessions = new Map<CallerConnection, CallerSession>();
+    readonly #sessions = new Map<CallerConnection, CallerSession<E>>();
     #earlyCount = 0;
 
-    constructor(options: CallerConnectionsOptions) {
+    constructor(options: CallerConnectionsOptions<E>) {
         this.#options = options;
-        this.#turns = new TurnBudget({ clock: options.clock, nextTurn: task => void setImmediate(task) });
     }
 
     /** Whether there are so many connections that those without progress should end soon. */
@@ -67,7 +84,7 @@
 
     /** Takes a new connection, or closes it if there are too many that count more. */
     add(socket: Socket): void {
-        const { clock, bounds, budget, run, attach, reject } = this.#options;
+        const { clock, bounds, budget, turns, limits, run, attach, reject } = this.#options;
         if (this.#sessions.size >= bounds.maxConnections) {
             reject("connections");
             const evicted = this.#connectionToEvict();
@@ -78,9 +95,9 @@
             evicted.connection.destroy();
             this.#sessions.delete(evicted.connection);
         }
-        const sequence = new RequestSequence(run, {
+        const sequence = new RequestSequence<E>(run, {
             tryTake: () => {
-                const isFree = this.#earlyCount < bounds.maxEarlyRequests;
+                const isFree = this.#earlyCount < bounds.maxEarlyRequests && !budget.isScarce;
                 this.#earlyCount += isFree ? 1 : 0;
                 return isFree;
             },
@@ -90,15 +107,25 @@
         });
         const connection = new CallerConnection(socket, {
             clock,
-            turns: this.#turns,
+            turns,
             allowedBytes: () => sequence.allowedBytes,
+            admit: sizeBytes => this.#admit(session, sizeBytes),
             hasUnreadBody: () => sequence.hasUnreadBody,
             countPending: changeBytes => budget.countPending(changeBytes),
             isPendingHigh: () => budget.isPendingHigh,
         });
-        const session: CallerSession = {
+        const memory = budget.heap.open();
+        memory.resize(connectionHeapBytes);
+        budget.countConnections(connectionNativeBytes);
+        const meter = new UnfinishedMeter({
+            account: budget.heap.open(),
+            // The limit is for the header fields; the request line may have as much, and a piece ends anywhere.
+            maxBytes: () => 2 * limits().maxHeaderBytes + pieceBytes,
+        });
+        const session: CallerSession<E> = {
             connection,
             sequence,
+            meter,
             hasRequested: false,
             idleSinceMs: clock.monotonicMs(),
         };
@@ -106,6 +133,9 @@
         connection.on("close", () => {
             this.#sessions.delete(connection);
             sequence.close();
+            meter.close();
+            memory.close();
+            budget.countConnections(-connectionNativeBytes);
         });
         attach(connection);
     }
@@ -116,19 +146,26 @@
     }
 
     /** Takes a request whose header was read. */
-    receive(exchange: CallerExchange): void {
+    receive(exchange: E): void {
         const { connection, outgoing } = exchange;
         const session = this.#sessions.get(connection);
         if (session === undefined) {
             exchange.body?.close();
+            exchange.disconnected.abort();
             return;
         }
+        session.meter.reset();
         connection.headerStartedMs = undefined;
         session.hasRequested = true;
         outgoing.on("finish", () => this.#finish(session));
         session.sequence.add(exchange);
     }
 
+    /** A header, or a piece of the body that a connection brings, was read. */
+    recordProgress(connection: CallerConnection): void {
+        this.#sessions.get(connection)?.meter.reset();
+    }
+
     /** Closes connections that are late with a header or do not take a response. Call it a few times a second. */
     review(): void {
         const nowMs = this.#options.clock.monotonicMs();
@@ -159,7 +196,29 @@
         });
     }
 
-    #finish(session: CallerSession): void {
+    closeAll(): void {
+        this.#sessions.forEach(({ connection }) => connection.destroy());
+    }
+
+    /** Counts bytes that the parser is about to get, and rejects a header or trailers for which there is no room. */
+    #admit({ connection, sequence, meter }: CallerSession<E>, sizeBytes: number): boolean {
+        const { arrivingBody } = sequence;
+        const excess = arrivingBody?.hasKnownLength === true ? undefined : meter.add(sizeBytes);
+        if (excess === undefined) {
+            return true;
+        }
+        if (arrivingBody !== undefined) {
+            arrivingBody.rejectOverhead(excess);
+        }
+        else if (sequence.isIdle) {
+            this.#options.reject(excess === "no-memory" ? "memory" : "header");
+            connection.rejectWith(this.#options.rejectionOf(excess));
+        }
+        // Otherwise it waits until the requests before it are answered.
+        return false;
+    }
+
+    #finish(session: CallerSession<E>): void {
         const { connection, sequence } = session;
         session.idleSinceMs = this.#options.clock.monotonicMs();
         if (connection.isClosing) {
@@ -191,9 +250,9 @@
     }
 
     /** The oldest connection that sent no request yet, or else the one that has been idle longest. */
-    #connectionToEvict(): CallerSession | undefined {
+    #connectionToEvict(): CallerSession<E> | undefined {
         const idleBeforeMs = this.#options.clock.monotonicMs() - idleBeforeEvictionMs;
-        let longestIdle: CallerSession | undefined;
+        let longestIdle: CallerSession<E> | undefined;
         for (const session of this.#sessions.values()) {
             if (!session.hasRequested) {
                 return session;
--- a/packages/gateway/src/lib/http/caller-rejections.ts
+++ b/packages/gateway/src/lib/http/caller-rejections.ts
@@ -5,11 +5,11 @@
 const lineIntervalMs = 1_000;
 
 /**
- * Why a caller was rejected: `memory`, no memory for a body or a response;
- * `connections`, too many connections; `stalled-body`, a body that does not arrive; `unread-response`, a response that
+ * Why a caller was rejected: `memory`, no memory for a header, a body or a response; `header`, a header that is far too
+ * long; `connections`, too many connections; `stalled-body`, a body that does not arrive; `unread-response`, a response that
  * is not read.
  */
-export type CallerRejection = "memory" | "connections" | "stalled-body" | "unread-response";
+export type CallerRejection = "memory" | "header" | "connections" | "stalled-body" | "unread-response";
 
 /** Options of {@link CallerRejections}. */
 export interface CallerRejectionsOptions {
--- a/packages/gateway/src/lib/http/caller-server.fixture.ts
+++ b/packages/gateway/src/lib/http/caller-server.fixture.ts
@@ -4,11 +4,14 @@
 import { createConnection, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import type { DecodedRequest } from "../model.js";
+import { MemoryBudget } from "../request/memory-budget.js";
 import type { ReceivedRequest } from "../request/request-handler.js";
 import { callerBoundsOf } from "./caller-bounds.js";
+import { CallerRejections } from "./caller-rejections.js";
 import { CallerServer } from "./caller-server.js";
+import { TurnBudget } from "./turn-budget.js";
 
-const freePort = (): Promise<number> =>
+export const freePort = (): Promise<number> =>
     new Promise(resolve => {
         const server = createServer().listen(0, "127.0.0.1", () => {
             const { port } = server.address() as AddressInfo;
@@ -30,11 +33,14 @@
 ): Promise<void> => {
     const port = await freePort();
     const flags = { isLeaving: false };
+    const log = { event: () => {} };
+    const bounds = callerBoundsOf({ memoryMb: 250 });
     const server = await CallerServer.open({
         clock: systemClock,
-        log: { event: () => {} },
+        log,
         address: `127.0.0.1:${port}`,
         codec: {
+            refusalHeaders: () => [],
             decodeRequest: (method, target, headers): DecodedRequest => ({
                 requestId: undefined,
                 host: "",
@@ -46,11 +52,12 @@
             }),
         },
         limits: () => limits,
-        bounds: callerBoundsOf(250, undefined),
-        upstreamBytes: () => 0,
+        bounds,
+        budget: new MemoryBudget({ clock: systemClock, maxBytes: bounds.maxBufferedBytes, upstreamBytes: () => 0 }),
+        turns: new TurnBudget({ clock: systemClock, nextTurn: task => void setImmediate(task) }),
+        rejections: new CallerRejections({ clock: systemClock, log, onRejection: () => {} }),
         organisationOf: () => undefined,
         isRepeatable: ({ target }) => target.startsWith("/safe"),
-        onRejection: () => {},
         handle,
         isLeaving: () => flags.isLeaving,
     });
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -1,22 +1,22 @@
 /** The HTTP server for callers. */
-import type { Clock, Headers as HeaderList, HttpResponse, LogPort, Timer } from "@sniperoad/core";
-import { bodilessStatuses, hasValidHeaders, splitAddress } from "@sniperoad/daemon";
-import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { Server as NetServer } from "node:net";
-import type { Socket } from "node:net";
+import type { Clock, Headers as HeaderList, HttpResponse, LogPort } from "@sniperoad/core";
+import { bodilessStatuses, hasValidHeaders } from "@sniperoad/daemon";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { errorMessage } from "../errors.js";
 import type { CallerLimits, DecodedRequest } from "../model.js";
-import { MemoryBudget } from "../request/memory-budget.js";
+import type { MemoryBudget } from "../request/memory-budget.js";
 import type { HeaderCodec } from "../request/ports.js";
 import type { ReceivedRequest } from "../request/request-handler.js";
-import type { CallerBounds } from "./caller-bounds.js";
-import { CallerConnections } from "./caller-connections.js";
-import { CallerRejections } from "./caller-rejections.js";
-import type { CallerRejection } from "./caller-rejections.js";
+import { BoundedServer } from "./bounded-server.js";
+import type { CallerConnection } from "./caller-connection.js";
+import type { ConnectionBounds } from "./caller-connections.js";
+import type { CallerRejections } from "./caller-rejections.js";
+import { compactRequest, requestHeapBytes } from "./header-memory.js";
 import { hasBody, RequestBody } from "./request-body.js";
 import type { BodyResult } from "./request-body.js";
-import type { CallerExchange } from "./request-sequence.js";
+import type { Exchange } from "./request-sequence.js";
+import type { TurnBudget } from "./turn-budget.js";
+import type { UnfinishedExcess } from "./unfinished-meter.js";
 
 /** Limits until a configuration is loaded; the values are common among HTTP proxies. */
 export const defaultCallerLimits: CallerLimits = {
@@ -25,27 +25,24 @@
     headerTimeoutMs: 5_000,
     idleTimeoutMs: 15_000,
 };
-/** Maximum header size of the parser; the configured limit is checked afterwards, since it may change. */
-const parserHeaderBytes = 131_072;
-/** Time for which a request that was sent before the listener closed may be on its way. */
-const arrivalMs = 250;
-/** Interval at which timeouts and the memory of callers are reviewed. */
-const reviewIntervalMs = 250;
 /** Time for which a body may wait for memory: an eighth of the request's deadline, and at most this. */
 const maxMemoryWaitMs = 1_000;
 const memoryWaitFraction = 1 / 8;
 const defaultDeadlineMs = 30_000;
+/** Retry delay of requests for whose header there is no memory; such a shortage mostly lasts for seconds. */
+const headerRetryAfterMs = 500;
 
 /** Options of {@link CallerServer}. */
 export interface CallerServerOptions {
     readonly clock: Clock;
     readonly log: LogPort;
     readonly address: string;
-    readonly codec: Pick<HeaderCodec, "decodeRequest">;
+    readonly codec: Pick<HeaderCodec, "decodeRequest" | "refusalHeaders">;
     readonly limits: () => CallerLimits;
-    readonly bounds: CallerBounds;
-    /** Bytes of responses that are being read from upstreams. */
-    readonly upstreamBytes: () => number;
+    readonly bounds: ConnectionBounds;
+    readonly budget: MemoryBudget;
+    readonly turns: TurnBudget;
+    readonly rejections: CallerRejections;
     /** The organisation whose key a request bears. */
     readonly organisationOf: (request: DecodedRequest) => string | undefined;
     /** Whether a request may run more than once. */
@@ -53,7 +50,18 @@
     readonly handle: (received: ReceivedRequest) => Promise<HttpResponse | undefined>;
     /** Whether responses close their connections, so that callers use another instance from now on. */
     readonly isLeaving: () => boolean;
-    readonly onRejection: (reason: CallerRejection) => void;
+}
+
+/** A request of a caller that is read or answered. */
+interface CallerExchange extends Exchange {
+    readonly request: DecodedRequest;
+    /** The organisation whose key the request bears. */
+    readonly owner: string | undefined;
+    /** Status with which it is rejected because of its header. */
+    readonly rejectedStatus: number | undefined;
+    /** Whether there was no memory for a further request when its header was read. */
+    readonly isOverload: boolean;
+    readonly receivedMs: number;
 }
 
 /**
@@ -65,48 +73,31 @@
  */
 export class CallerServer {
     readonly #options: CallerServerOptions;
-    readonly #server: Server;
-    readonly #budget: MemoryBudget;
-    readonly #rejections: CallerRejections;
-    readonly #connections: CallerConnections;
+    readonly #server: BoundedServer<CallerExchange>;
     #activeRequests = 0;
-    #reviewTimer: Timer | undefined;
 
     private constructor(options: CallerServerOptions) {
-        const { clock, log, bounds, upstreamBytes, onRejection, limits } = options;
+        const { log, budget, rejections } = options;
         this.#options = options;
-        this.#budget = new MemoryBudget({ clock, maxBytes: bounds.maxBufferedBytes, upstreamBytes });
-        this.#rejections = new CallerRejections({ clock, log, onRejection });
-        this.#server = createServer({
-            maxHeaderSize: parserHeaderBytes,
-            // Node.js would count the time for which a header waits behind a request in progress.
-            headersTimeout: 0,
-            requestTimeout: 0,
-            noDelay: true,
-        }, (incoming, outgoing) => {
-            try {
-                this.#receive(incoming, outgoing);
-            }
-            catch (error) {
-                log.event("request-failed", { reason: errorMessage(error) });
-                outgoing.destroy();
-            }
-        });
-        // The connections that Node.js gets are streams which pass on no more than the budget allows.
-        const [attach] = this.#server.listeners("connection") as ((connection: unknown) => void)[];
-        this.#connections = new CallerConnections({
-            clock,
-            budget: this.#budget,
-            bounds,
-            limits,
-            reject: reason => this.#rejections.record(reason),
-            attach: connection => attach!.call(this.#server, connection),
+        this.#server = new BoundedServer({
+            ...options,
+            reject: reason => rejections.record(reason),
+            rejectionOf: excess => this.#rejectionOf(excess),
+            receive: (incoming, outgoing, connection) => {
+                try {
+                    this.#receive(incoming, outgoing, connection);
+                }
+                catch (error) {
+                    log.event("request-failed", { reason: errorMessage(error) });
+                    outgoing.destroy();
+                }
+            },
             run: exchange => void this.#run(exchange),
+            onReview: () => {
+                budget.review(this.#server.connections.isCrowded);
+                rejections.review();
+            },
         });
-        this.#server.removeAllListeners("connection");
-        this.#server.on("connection", (socket: Socket) => this.#connections.add(socket));
-        this.applyLimits();
-        this.#review();
     }
 
     /**
@@ -114,13 +105,10 @@
      *
      * @throws Error when the address is in use
      */
-    static open(options: CallerServerOptions): Promise<CallerServer> {
-        return new Promise((resolve, reject) => {
-            const server = new CallerServer(options);
-            const { host, port } = splitAddress(options.address);
-            server.#server.once("error", reject);
-            server.#server.listen(port, host, () => resolve(server));
-        });
+    static async open(options: CallerServerOptions): Promise<CallerServer> {
+        const server = new CallerServer(options);
+        await server.#server.listen(options.address);
+        return server;
     }
 
     /** Number of requests in progress. */
@@ -130,41 +118,32 @@
 
     /** Applies changed limits. */
     applyLimits(): void {
-        this.#server.keepAliveTimeout = this.#options.limits().idleTimeoutMs;
-    }
-
-    /**
-     * Stops accepting connections and resolves when all requests have ended. Idle connections stay open for
-     * {@link arrivalMs}, so that requests which callers have sent already are read and answered.
-     */
-    async close(): Promise<void> {
-        // `http.Server.close` would close idle connections at once.
-        const closed = new Promise<void>(resolve => NetServer.prototype.close.call(this.#server, () => resolve()));
-        const arrived = new Promise<void>(resolve => this.#options.clock.after(arrivalMs, resolve));
-        await Promise.race([closed, arrived]);
-        this.#connections.closeIdle();
-        await closed;
-        this.#reviewTimer?.cancel();
+        this.#server.applyLimits();
     }
 
-    #review(): void {
-        this.#budget.review(this.#connections.isCrowded);
-        this.#connections.review();
-        this.#rejections.review();
-        this.#reviewTimer = this.#options.clock.after(reviewIntervalMs, () => this.#review());
+    /** Stops accepting connections and resolves when all requests have ended; see {@link BoundedServer.close}. */
+    close(): Promise<void> {
+        return this.#server.close();
     }
 
     /** Takes a request whose header was read. */
-    #receive(incoming: IncomingMessage, outgoing: ServerResponse): void {
-        const connection = this.#connections.connectionOf(incoming);
-        const receivedMs = this.#options.clock.monotonicMs();
+    #receive(incoming: IncomingMessage, outgoing: ServerResponse, connection: CallerConnection): void {
+        const { budget, codec, organisationOf, clock } = this.#options;
+        // From here on the request is counted, and not the bytes of its header.
+        this.#server.connections.recordProgress(connection);
+        const receivedMs = clock.monotonicMs();
         const headers = headerList(incoming.rawHeaders);
+        const target = incoming.url ?? "/";
         const rejectedStatus = this.#rejectedStatus(incoming, headers);
-        const request = this.#options.codec.decodeRequest(incoming.method ?? "GET", incoming.url ?? "/", headers);
-        const owner = this.#options.organisationOf(request);
-        const isOverload = !this.#budget.hasRoomFor(owner);
+        const decoded = codec.decodeRequest(incoming.method ?? "GET", target, headers);
+        const owner = organisationOf(decoded);
+        const memory = budget.heap.open();
+        const isOverload = !budget.hasRoomFor(owner)
+            || !memory.tryResize(requestHeapBytes(target, incoming.rawHeaders), owner);
+        const isRejected = rejectedStatus !== undefined || isOverload;
+        const request = compactRequest(isRejected ? { ...decoded, headers: [] } : decoded);
         const isBodyWanted = rejectedStatus === undefined && !(isOverload && hasBody(incoming));
-        const isRepeatable = !hasBody(incoming) && this.#options.isRepeatable(request);
+        const isRepeatable = !isRejected && !hasBody(incoming) && this.#options.isRepeatable(request);
         const disconnected = new AbortController();
         const common = {
             connection,
@@ -178,7 +157,23 @@
             receivedMs,
             disconnected,
         };
-        this.#connections.receive({ ...common, body: isBodyWanted ? this.#openBody(common) : undefined });
+        const exchange = { ...common, body: isBodyWanted ? this.#openBody(common) : undefined };
+        // The compact request is kept instead.
+        incoming.rawHeaders = [];
+        incoming.headers = {};
+        onEnd(exchange, () => memory.close());
+        this.#server.connections.receive(exchange);
+    }
+
+    /** Response to a connection whose header is not read to its end; nothing of the request has run. */
+    #rejectionOf(excess: UnfinishedExcess): string {
+        const isTooLong = excess === "too-long";
+        const headers = this.#options.codec.refusalHeaders(undefined, isTooLong ? undefined : headerRetryAfterMs);
+        const lines = [...headers, ["content-length", "0"], ["connection", "close"]].map(([name, value]) =>
+            `${name}: ${value}\r\n`
+        );
+        const status = isTooLong ? "431 Request Header Fields Too Large" : "503 Service Unavailable";
+        return `HTTP/1.1 ${status}\r\n${lines.join("")}\r\n`;
     }
 
     /** Status with which a request is rejected because of its header. */
@@ -190,13 +185,15 @@
     }
 
     #openBody({ incoming, request, owner, connection }: Omit<CallerExchange, "body">): RequestBody {
+        const { budget } = this.#options;
         const deadlineMs = request.deadlineMs ?? defaultDeadlineMs;
         return new RequestBody(incoming, {
-            budget: this.#budget,
+            budget,
             maxBytes: this.#options.limits().maxBodyBytes,
             owner,
             waitMs: Math.min(maxMemoryWaitMs, deadlineMs * memoryWaitFraction),
             onGranted: () => connection.pump(),
+            onProgress: () => this.#server.connections.recordProgress(connection),
         });
     }
 
@@ -214,7 +211,7 @@
         });
         try {
             if (rejectedStatus !== undefined) {
-                this.#write(exchange, { status: rejectedStatus, headers: [], body: new Uint8Array(0) }, true);
+                this.#reject(exchange, rejectedStatus);
                 return;
             }
             const result: BodyResult = await body?.result ?? { kind: "rejected", reason: "memory" };
@@ -235,13 +232,18 @@
             return;
         }
         if (result.kind === "rejected" && result.reason === "stalled") {
-            this.#rejections.record("stalled-body");
+            this.#options.rejections.record("stalled-body");
             connection.reset();
             return;
         }
+        if (result.kind === "overhead") {
+            this.#options.rejections.record("header");
+            this.#reject(exchange, 431);
+            return;
+        }
         const isOverload = exchange.isOverload || result.kind === "rejected";
         if (isOverload) {
-            this.#rejections.record("memory");
+            this.#options.rejections.record("memory");
         }
         const body = result.kind === "whole" ? result.body : undefined;
         const response = await this.#options.handle({ request, body, isOverload, receivedMs, signal });
@@ -250,19 +252,23 @@
         }
     }
 
+    #reject(exchange: CallerExchange, status: number): void {
+        this.#write(exchange, { status, headers: [], body: new Uint8Array(0) }, true);
+    }
+
     #write(exchange: CallerExchange, response: HttpResponse, mustClose: boolean): void {
         const { outgoing, owner } = exchange;
+        const { budget, isLeaving } = this.#options;
+        onEnd(exchange, budget.hold(response.body.length, owner));
         const headers = response.headers.filter(([name]) => !connectionHeaders.has(name));
         const hasBody = !bodilessStatuses.has(response.status);
         // A length lets the caller detect an early end, whatever ends the connection.
         const lengthHeader: [string, string][] = hasBody ? [["content-length", String(response.body.length)]] : [];
-        const isLast = mustClose || this.#options.isLeaving();
+        const isLast = mustClose || isLeaving();
         const closeHeader: [string, string][] = isLast ? [["connection", "close"]] : [];
-        const release = this.#budget.hold(response.body.length, owner);
-        onEnd(exchange, release);
         outgoing.writeHead(response.status, [...headers, ...lengthHeader, ...closeHeader].flat());
         outgoing.end(hasBody ? response.body : undefined);
-        this.#connections.reviewReaders();
+        this.#server.connections.reviewReaders();
     }
 }
 
--- a/packages/gateway/src/lib/http/request-body.ts
+++ b/packages/gateway/src/lib/http/request-body.ts
@@ -3,6 +3,7 @@
 import { BodyMemory } from "../request/body-memory.js";
 import { smallBodyBytes } from "../request/memory-budget.js";
 import type { BodyRejection, BodyReservation, MemoryBudget } from "../request/memory-budget.js";
+import type { UnfinishedExcess } from "./unfinished-meter.js";
 
 /** Bytes that the parser gets at once if it is not known what they are; they hold few requests or chunks. */
 export const pieceBytes = 1_024;
@@ -15,10 +16,13 @@
 export const hasBody = ({ headers }: IncomingMessage): boolean =>
     headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 
-/** How the reading of a body ended; `gone`: its connection ended before. */
+/**
+ * How the reading of a body ended; `overhead`: its trailers or a chunk extension are too long; `gone`: its connection
+ * ended before.
+ */
 export type BodyResult =
     | { readonly kind: "whole"; readonly body: Uint8Array; }
-    | { readonly kind: "too-large" | "gone"; }
+    | { readonly kind: "too-large" | "overhead" | "gone"; }
     | { readonly kind: "rejected"; readonly reason: BodyRejection; };
 
 /** Options of {@link RequestBody}. */
@@ -30,6 +34,8 @@
     readonly waitMs: number;
     /** Called when memory for more of the body was granted. */
     readonly onGranted: () => void;
+    /** Called for each piece of the body. */
+    readonly onProgress: () => void;
 }
 
 /**
@@ -76,9 +82,9 @@
         this.#open();
     }
 
-    /** Whether more of the body is to come. */
-    get isArriving(): boolean {
-        return !this.#isEnded;
+    /** Whether all that the connection brings next is a part of the body. */
+    get hasKnownLength(): boolean {
+        return this.#lengthBytes !== undefined;
     }
 
     /** Bytes of the connection that may be read now: none while the body waits for memory. */
@@ -89,6 +95,11 @@
         return this.#lengthBytes === undefined ? pieceBytes : this.#lengthBytes - this.#memory.sizeBytes;
     }
 
+    /** Gives up what is besides the body: it is too long, or there is no memory for it. */
+    rejectOverhead(excess: UnfinishedExcess): void {
+        this.#end(excess === "too-long" ? { kind: "overhead" } : { kind: "rejected", reason: "memory" });
+    }
+
     /** Gives the memory back, once the body is no longer needed. */
     close(): void {
         this.#end({ kind: "gone" });
@@ -120,7 +131,8 @@
         if (this.#isEnded) {
             return;
         }
-        const { maxBytes } = this.#options;
+        const { maxBytes, onProgress } = this.#options;
+        onProgress();
         const sizeBytes = this.#memory.sizeBytes + piece.length;
         if (sizeBytes > maxBytes) {
             this.#end({ kind: "too-large" });
@@ -144,6 +156,7 @@
     }
 
     #complete(): void {
+        this.#options.onProgress();
         this.#reservation?.complete();
         this.#end({ kind: "whole", body: this.#memory.take() });
     }
--- a/packages/gateway/src/lib/http/request-sequence.ts
+++ b/packages/gateway/src/lib/http/request-sequence.ts
@@ -1,27 +1,18 @@
 /** The requests of one connection, which are answered in order. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { DecodedRequest } from "../model.js";
 import type { CallerConnection } from "./caller-connection.js";
 import { pieceBytes } from "./request-body.js";
 import type { RequestBody } from "./request-body.js";
 
 /** A request that the parser has read up to its header. */
-export interface CallerExchange {
+export interface Exchange {
     readonly connection: CallerConnection;
     readonly incoming: IncomingMessage;
     readonly outgoing: ServerResponse;
-    readonly request: DecodedRequest;
-    /** The organisation whose key the request bears. */
-    readonly owner: string | undefined;
-    /** Status with which it is rejected because of its header. */
-    readonly rejectedStatus: number | undefined;
-    /** Whether there was no memory for a further request when its header was read. */
-    readonly isOverload: boolean;
-    /** Undefined if the request is rejected by its header, or if it has a body and there was no memory. */
+    /** Undefined if its body, if it has one, is not read. */
     readonly body: RequestBody | undefined;
     /** Whether it has no body and may run more than once, so that it may run before its turn. */
     readonly isRepeatable: boolean;
-    readonly receivedMs: number;
     /** Aborted when the connection ends before the response. */
     readonly disconnected: AbortController;
 }
@@ -45,15 +36,15 @@
  * sequence.add(exchange);
  * sequence.finish();
  */
-export class RequestSequence {
-    readonly #run: (exchange: CallerExchange) => void;
+export class RequestSequence<E extends Exchange> {
+    readonly #run: (exchange: E) => void;
     readonly #early: EarlyRequests;
     /** In the order of their responses; the first ones run. */
-    #exchanges: CallerExchange[] = [];
+    #exchanges: E[] = [];
     #runningCount = 0;
     #earlyCount = 0;
 
-    constructor(run: (exchange: CallerExchange) => void, early: EarlyRequests) {
+    constructor(run: (exchange: E) => void, early: EarlyRequests) {
         this.#run = run;
         this.#early = early;
     }
@@ -68,6 +59,11 @@
         return last !== undefined && !last.incoming.complete;
     }
 
+    /** The body that is arriving; undefined if the next bytes are a header, or nobody reads the body. */
+    get arrivingBody(): RequestBody | undefined {
+        return this.hasUnreadBody ? this.#exchanges.at(-1)?.body : undefined;
+    }
+
     /** Bytes that the parser may get: none while a request runs behind which none may run, so that few are read ahead. */
     get allowedBytes(): number {
         const last = this.#exchanges.at(-1);
@@ -81,7 +77,7 @@
         return mayRunNext && this.#exchanges.every(({ isRepeatable }) => isRepeatable) ? pieceBytes : 0;
     }
 
-    add(exchange: CallerExchange): void {
+    add(exchange: E): void {
         this.#exchanges.push(exchange);
         this.#runNext();
     }
@@ -119,7 +115,7 @@
     }
 
     /** The first request that does not run, if it may run now. */
-    #nextExchange(): CallerExchange | undefined {
+    #nextExchange(): E | undefined {
         const next = this.#exchanges[this.#runningCount];
         if (next === undefined || this.#runningCount === 0) {
             return next;
--- a/packages/gateway/src/lib/request/memory-budget.ts
+++ b/packages/gateway/src/lib/request/memory-budget.ts
@@ -1,5 +1,7 @@
 /** Divides the memory for callers between bodies that arrive, responses that are read and responses that wait. */
 import type { Clock } from "@sniperoad/core";
+import { HeapBudget } from "./heap-budget.js";
+import { OwnerBytes } from "./owner-bytes.js";
 
 /** Size up to which a body needs no place among the large ones. The requests of the users' sites are below it. */
 export const smallBodyBytes = 65_536;
@@ -29,6 +31,8 @@
     readonly owner: string | undefined;
     /** Time for which the body may wait for memory. */
     readonly waitMs: number;
+    /** Whether the body has a time limit of its own, so that it is not given up because it makes no progress. */
+    readonly mayStall?: boolean;
     readonly onGranted: () => void;
     /** Called once; the reservation is closed then. */
     readonly onRejected: (reason: BodyRejection) => void;
@@ -61,30 +65,13 @@
     isComplete: boolean;
 }
 
-/** Bytes by owner. */
-class OwnerBytes {
-    readonly #bytes = new Map<string | undefined, number>();
-
-    get(owner: string | undefined): number {
-        return this.#bytes.get(owner) ?? 0;
-    }
-
-    add(owner: string | undefined, changeBytes: number): void {
-        const sizeBytes = this.get(owner) + changeBytes;
-        if (sizeBytes > 0) {
-            this.#bytes.set(owner, sizeBytes);
-        }
-        else {
-            this.#bytes.delete(owner);
-        }
-    }
-}
-
 /** Options of {@link MemoryBudget}. */
 export interface MemoryBudgetOptions {
     readonly clock: Pick<Clock, "monotonicMs">;
     readonly maxBytes: number;
-    /** Bytes of responses that are being read from upstreams; they have a limit of their own within the budget. */
+    /** Part of it that may lie in the JavaScript heap; default: all. */
+    readonly maxHeapBytes?: number;
+    /** Bytes of responses without a length that are read from upstreams; they have a limit of their own too. */
     readonly upstreamBytes: () => number;
 }
 
@@ -106,14 +93,34 @@
     #grantedBytes = 0;
     #heldBytes = 0;
     #pendingBytes = 0;
+    #connectionBytes = 0;
+    /** Memory of headers, requests and connections in the JavaScript heap. */
+    readonly heap: HeapBudget;
 
     constructor(options: MemoryBudgetOptions) {
         this.#options = options;
+        const { maxBytes, maxHeapBytes = maxBytes } = options;
+        this.heap = new HeapBudget({
+            maxBytes: maxHeapBytes,
+            memory: { maxBytes, freeBytes: () => maxBytes - this.usedBytes },
+            onFreed: () => this.#grantWaiting(),
+        });
     }
 
     /** Bytes in use. */
     get usedBytes(): number {
-        return this.#grantedBytes + this.#heldBytes + this.#pendingBytes + this.#options.upstreamBytes();
+        return this.#grantedBytes + this.#heldBytes + this.#pendingBytes + this.#connectionBytes
+            + this.heap.usedBytes + this.#options.upstreamBytes();
+    }
+
+    /** Whether so much is in use that memory should soon be free again. */
+    get isScarce(): boolean {
+        return this.#waiting.length > 0 || this.usedBytes > this.#options.maxBytes * scarceShare;
+    }
+
+    /** Whether more is in use than there is. */
+    get isExceeded(): boolean {
+        return this.usedBytes > this.#options.maxBytes;
     }
 
     /** Bytes of responses that wait for callers. */
@@ -137,6 +144,11 @@
         this.#pendingBytes += changeBytes;
     }
 
+    /** Counts what connections take outside the heap. */
+    countConnections(changeBytes: number): void {
+        this.#connectionBytes += changeBytes;
+    }
+
     /** Counts a response until the returned function is called. It was produced already, so it is never refused. */
     hold(sizeBytes: number, owner: string | undefined): () => void {
         this.#heldBytes += sizeBytes;
@@ -180,15 +192,14 @@
      */
     review(isCrowded: boolean): void {
         const nowMs = this.#options.clock.monotonicMs();
-        const isScarce = isCrowded || this.#waiting.length > 0 || this.usedBytes > this.#options.maxBytes * scarceShare;
-        const maxStallMs = isScarce ? stallMs.scarce : stallMs.ample;
+        const maxStallMs = isCrowded || this.isScarce ? stallMs.scarce : stallMs.ample;
         for (const entry of this.#entries) {
             if (entry.wantedBytes > 0) {
                 if (nowMs >= entry.waitEndMs) {
                     this.#reject(entry, "memory");
                 }
             }
-            else if (!entry.isComplete && nowMs - entry.progressMs >= maxStallMs) {
+            else if (!entry.isComplete && entry.options.mayStall !== true && nowMs - entry.progressMs >= maxStallMs) {
                 this.#reject(entry, "stalled");
             }
         }
@@ -255,6 +266,9 @@
     }
 
     #grantWaiting(): void {
+        if (this.#waiting.length === 0) {
+            return;
+        }
         let isBudgetUsed = false;
         for (const entry of this.#waiting) {
             // A callback may have ended or served it.
