Serve connections that have used least first in a turn

What callers saw: beside connections whose trailers go on without end, ordinary requests got nothing for seconds.

Cause: the parser's turns were first come, first served. Each step of an ordinary request waited for a round of all busy connections, 4 kB of trailers each, and rounds took as long as the caller's patience.

Change: TurnBudget has levels by what a connection has used in the last second (multilevel feedback), so a request of a few kilobytes is served in the next turn, whatever waits.

A unit test shows the order.

--- a/packages/gateway/src/lib/http/caller-connection.ts
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -8,6 +8,8 @@
 const maxPendingBytes = 16_384;
 /** Bytes that the parser gets before other connections have their turn. */
 const bytesPerTurn = 4_096;
+/** Time after which a connection counts again as one that has used nothing. */
+const usedIntervalMs = 1_000;
 /** Size of the parts in which a response is written, so that it shows whether the caller takes it. */
 const partBytes = 65_536;
 /** Bytes and time for which a rejected body is read and dropped: closing at once would lose the response on the way. */
@@ -49,6 +51,8 @@
     #pendingBytes = 0;
     #isPumping = false;
     #isQueued = false;
+    #usedInIntervalBytes = 0;
+    #usedSinceMs: number;
     #isReadWanted = true;
     #hasSocketEnded = false;
     #isDiscarding = false;
@@ -64,6 +68,7 @@
         this.#options = options;
         this.openedMs = options.clock.monotonicMs();
         this.headerStartedMs = this.openedMs;
+        this.#usedSinceMs = this.openedMs;
         socket.on("data", chunk => this.#receive(chunk));
         socket.on("end", () => {
             this.#hasSocketEnded = true;
@@ -113,6 +118,7 @@
                 break;
             }
             passedBytes += sizeBytes;
+            this.#usedInIntervalBytes += sizeBytes;
             this.#isReadWanted = this.push(this.#take(sizeBytes));
         }
         this.#isPumping = false;
@@ -237,7 +243,17 @@
         this.#options.turns.continueLater(() => {
             this.#isQueued = false;
             this.pump();
-        });
+        }, this.#usedBytes());
+    }
+
+    /** Bytes that the parser got in the current interval. */
+    #usedBytes(): number {
+        const nowMs = this.#options.clock.monotonicMs();
+        if (nowMs - this.#usedSinceMs >= usedIntervalMs) {
+            this.#usedSinceMs = nowMs;
+            this.#usedInIntervalBytes = 0;
+        }
+        return this.#usedInIntervalBytes;
     }
 
     /** Stops or resumes the socket, and passes on its end. */
--- a/packages/gateway/src/lib/http/turn-budget.test.ts
+++ b/packages/gateway/src/lib/http/turn-budget.test.ts
@@ -13,10 +13,10 @@
         done.push(name);
         nowMs += 6;
         if (count > 1) {
-            budget.continueLater(work(name, count - 1));
+            budget.continueLater(work(name, count - 1), 0);
         }
     };
-    ["a", "b", "c"].forEach(name => budget.continueLater(work(name, 2)));
+    ["a", "b", "c"].forEach(name => budget.continueLater(work(name, 2), 0));
     const counts: number[] = [];
     while (turns.length > 0) {
         const current = turns;
@@ -29,4 +29,16 @@
     assert.not(budget.isContended);
 });
 
+// Guards against an ordinary request that waits for a round of many busy connections in each of its steps.
+test("connections that have used less are served first", () => {
+    const turns: (() => void)[] = [];
+    const budget = new TurnBudget({ clock: { monotonicMs: () => 0 }, nextTurn: task => turns.push(task) });
+    const done: string[] = [];
+    ([["busiest", 1_000_000], ["busy", 8_192], ["first", 100], ["second", 1_500]] as const).forEach((
+        [name, usedBytes],
+    ) => budget.continueLater(() => done.push(name), usedBytes));
+    turns.shift()!();
+    assert.equal(done, ["first", "second", "busy", "busiest"]);
+});
+
 test.run();
--- a/packages/gateway/src/lib/http/turn-budget.ts
+++ b/packages/gateway/src/lib/http/turn-budget.ts
@@ -3,6 +3,9 @@
 
 /** Time for all connections together. More delays other requests by as much in each turn. */
 const maxTurnMs = 10;
+/** Bytes up to which a connection is served first; each further level has twice as many. */
+const firstLevelBytes = 1_024;
+const levelCount = 8;
 
 /** Options of {@link TurnBudget}. */
 export interface TurnBudgetOptions {
@@ -12,18 +15,20 @@
 }
 
 /**
- * Lets connections work until the time of the turn is used; the others continue in the next turns, in the order in which
- * they asked. Many connections that send chunks of one byte would otherwise block the event loop for seconds.
+ * Lets connections work until the time of the turn is used; the others continue in the next turns. Those that have used
+ * least are served first, by multilevel feedback (Corbató et al., 1962), and those alike in the order in which they
+ * asked. Otherwise many connections that send chunks of one byte would block the event loop for seconds, and an ordinary
+ * request would wait for a round of them in each of its steps.
  *
  * @example
  * while (hasWork && budget.hasTime()) { work(); }
- * budget.continueLater(resume);
+ * budget.continueLater(resume, usedBytes);
  */
 export class TurnBudget {
     readonly #options: TurnBudgetOptions;
     /** Start of the turn; undefined until something is done in it. */
     #startMs: number | undefined;
-    #waiting: (() => void)[] = [];
+    readonly #levels: (() => void)[][] = Array.from({ length: levelCount }, () => []);
 
     constructor(options: TurnBudgetOptions) {
         this.#options = options;
@@ -31,7 +36,7 @@
 
     /** Whether others wait, so that each connection should do only a part of its work. */
     get isContended(): boolean {
-        return this.#waiting.length > 0;
+        return this.#levels.some(({ length }) => length > 0);
     }
 
     /** Whether work may be done in this turn. */
@@ -44,23 +49,26 @@
         return nowMs - this.#startMs < maxTurnMs;
     }
 
-    /** Continues with a task in this turn or a later one, after those that wait already. */
-    continueLater(task: () => void): void {
-        this.#waiting.push(task);
+    /**
+     * Continues with a task in this turn or a later one.
+     *
+     * @param usedBytes what its connection has used lately
+     */
+    continueLater(task: () => void, usedBytes: number): void {
+        const level = Math.floor(Math.log2(Math.max(1, usedBytes / firstLevelBytes)));
+        this.#levels[Math.min(level, levelCount - 1)]!.push(task);
         this.hasTime();
     }
 
     #beginTurn(): void {
         this.#startMs = undefined;
-        if (this.#waiting.length === 0) {
-            return;
+        // Tasks that continue later are served in this turn only if none waits that has used less.
+        for (let tasks = this.#nextTasks(); tasks !== undefined && this.hasTime(); tasks = this.#nextTasks()) {
+            tasks.shift()!();
         }
-        const waiting = this.#waiting;
-        this.#waiting = [];
-        let done = 0;
-        while (done < waiting.length && this.hasTime()) {
-            waiting[done++]!();
-        }
-        this.#waiting = [...waiting.slice(done), ...this.#waiting];
+    }
+
+    #nextTasks(): (() => void)[] | undefined {
+        return this.#levels.find(({ length }) => length > 0);
     }
 }
