Leave large responses at their upstreams until there is memory for them

What callers saw: 503 for ordinary requests, and an instance over the memory of its machine, while callers asked for answers of 2 MB, four behind one another, and read none.

Cause: a request was admitted by the memory in use when its header came, and its response was read whatever was in use by then. The responses being read had a bound of their own, those that waited for callers had none. A response also stood twice in memory, as pieces and as their copy.

Change: a response of over 64 kB with a length asks the budget for it before its body is read, in turn with the bodies of requests, and its connection rests until then; the body goes into one buffer. One without a length is given up when the memory is used. One that gets no memory in half of its time is given up as "no-memory": 502, without blame for the upstream and without a retry, which would end alike.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -63,6 +63,7 @@
         clock,
         codec: headers,
         maxBufferedBytes: bufferedBytesFor(memoryMb),
+        memory: budgets.budget,
     });
     const metrics: GatewayMetrics = new GatewayMetrics({
         configVersion: () => fleet.config.version,
--- a/packages/gateway/src/lib/request/attempt-evaluator.ts
+++ b/packages/gateway/src/lib/request/attempt-evaluator.ts
@@ -80,6 +80,15 @@
                 return { kind: "unknown", reason, isTimeout: false };
             })
             .with({ kind: "foreign" }, ({ reason }): DispatchResult => ({ kind: "unknown", reason, isTimeout: false }))
+            .with(
+                { kind: "no-memory" },
+                (): DispatchResult => ({
+                    kind: "unknown",
+                    reason: "the memory for responses is in use",
+                    isTimeout: false,
+                    isFinal: true,
+                }),
+            )
             .with({ kind: "timeout" }, (): DispatchResult => {
                 this.#recordPathFailure(listed);
                 return { kind: "unknown", reason: "no answer in time", isTimeout: true };
--- a/packages/gateway/src/lib/request/body-buffer.ts
+++ b/packages/gateway/src/lib/request/body-buffer.ts
@@ -48,6 +48,13 @@
         return buffers.length === 1 ? buffers[0]! : Buffer.concat(buffers);
     }
 
+    /** Forgets a body that was not taken. */
+    free(): void {
+        this.#buffers = [];
+        this.#block = undefined;
+        this.#blockLength = 0;
+    }
+
     #endBlock(): void {
         if (this.#block !== undefined) {
             this.#buffers.push(this.#block.subarray(0, this.#blockLength));
--- a/packages/gateway/src/lib/request/buffer-budget.ts
+++ b/packages/gateway/src/lib/request/buffer-budget.ts
@@ -8,9 +8,12 @@
     close(): void;
 }
 
+/** Why a buffer is given up: those of this budget are too large, or there is no memory besides them. */
+export type EvictionReason = "budget" | "memory";
+
 interface OpenAccount {
     sizeBytes: number;
-    readonly onEvict: () => void;
+    readonly onEvict: (reason: EvictionReason) => void;
 }
 
 /**
@@ -24,11 +27,14 @@
  */
 export class BufferBudget {
     readonly #maxBytes: number;
+    readonly #isMemoryExceeded: () => boolean;
     readonly #accounts = new Set<OpenAccount>();
     #totalBytes = 0;
 
-    constructor(maxBytes: number) {
+    /** @param isMemoryExceeded whether more memory is in use in all than there is */
+    constructor(maxBytes: number, isMemoryExceeded: () => boolean = () => false) {
         this.#maxBytes = maxBytes;
+        this.#isMemoryExceeded = isMemoryExceeded;
     }
 
     /** Bytes of all open accounts. */
@@ -37,7 +43,7 @@
     }
 
     /** Opens an account; `onEvict` is called once if its buffer must be given up, which also closes it. */
-    open(onEvict: () => void): BufferAccount {
+    open(onEvict: (reason: EvictionReason) => void): BufferAccount {
         const account: OpenAccount = { sizeBytes: 0, onEvict };
         this.#accounts.add(account);
         return {
@@ -53,13 +59,20 @@
     }
 
     #enforce(): void {
-        while (this.#totalBytes > this.#maxBytes) {
+        for (let reason = this.#excess(); reason !== undefined; reason = this.#excess()) {
             const largest = [...this.#accounts].reduce((left, right) =>
                 right.sizeBytes > left.sizeBytes ? right : left
             );
             this.#close(largest);
-            largest.onEvict();
+            largest.onEvict(reason);
+        }
+    }
+
+    #excess(): EvictionReason | undefined {
+        if (this.#totalBytes > this.#maxBytes) {
+            return "budget";
         }
+        return this.#totalBytes > 0 && this.#isMemoryExceeded() ? "memory" : undefined;
     }
 
     #close(account: OpenAccount): void {
--- a/packages/gateway/src/lib/request/dispatch.ts
+++ b/packages/gateway/src/lib/request/dispatch.ts
@@ -27,6 +27,11 @@
     | { readonly kind: "not-run"; readonly reason: string; }
     /** No upstream can be sent the request as it is. */
     | { readonly kind: "invalid"; readonly reason: string; }
-    /** An upstream may have run the request, or may still run it. */
-    | { readonly kind: "unknown"; readonly reason: string; readonly isTimeout: boolean; }
+    /** An upstream may have run the request, or may still run it. `isFinal`: a further attempt would end alike. */
+    | {
+        readonly kind: "unknown";
+        readonly reason: string;
+        readonly isTimeout: boolean;
+        readonly isFinal?: boolean;
+    }
     | { readonly kind: "cancelled"; };
--- a/packages/gateway/src/lib/request/ports.ts
+++ b/packages/gateway/src/lib/request/ports.ts
@@ -12,6 +12,8 @@
     readonly body: Uint8Array;
     /** The response must carry this id, and none if there is none; any other response is rejected. */
     readonly requestId: string | undefined;
+    /** Whose share of the memory the response counts towards; undefined for callers without an organisation. */
+    readonly owner?: string | undefined;
     /** Maximum time until the response is complete. */
     readonly timeoutMs: number;
     /** Whether the request may be sent again if its connection is lost. */
@@ -47,6 +49,8 @@
     }
     /** The response is not known to belong to the request, or its body was encoded on the way. */
     | { readonly kind: "foreign"; readonly reason: string; }
+    /** There was no memory for the response, for which the upstream is not to blame. */
+    | { readonly kind: "no-memory"; }
     /** The response was not complete within `timeoutMs`. */
     | { readonly kind: "timeout"; }
     /** The `signal` of the request was aborted. */
--- a/packages/gateway/src/lib/request/response-reader.ts
+++ b/packages/gateway/src/lib/request/response-reader.ts
@@ -3,7 +3,10 @@
 import { flattenHeaders, isValidStatus } from "@sniperoad/daemon";
 import type { Client, Dispatcher } from "undici";
 import { BodyBuffer } from "./body-buffer.js";
+import { BodyMemory } from "./body-memory.js";
 import type { BufferBudget } from "./buffer-budget.js";
+import { smallBodyBytes } from "./memory-budget.js";
+import type { BodyReservation, MemoryBudget } from "./memory-budget.js";
 
 /** Maximum size of the head of a response, the default of Node.js. */
 export const maxHeadBytes = 16_384;
@@ -20,19 +23,29 @@
 }
 
 /**
- * How a response ended: whole, rejected by its head, no HTTP response by its status, given up for memory, or by an error
- * of the connection.
+ * How a response ended: whole, rejected by its head, no HTTP response by its status, given up because it has no end or
+ * because callers have taken the memory, or by an error of the connection.
  */
 export type ReadResult =
     | { readonly kind: "whole"; readonly head: ResponseHead; readonly body: Uint8Array; }
     | { readonly kind: "rejected"; readonly reason: string; }
     | { readonly kind: "invalid-status"; readonly head: ResponseHead; }
     | { readonly kind: "evicted"; }
+    | { readonly kind: "no-memory"; }
     | { readonly kind: "failed"; readonly error: Error; readonly hadHeaders: boolean; };
 
 /** Options of {@link ResponseReader}. */
 export interface ResponseReaderOptions {
     readonly buffers: BufferBudget;
+    /** Memory for large responses with a length, which are read only once they have it. Default: `buffers`. */
+    readonly memory?: {
+        readonly budget: Pick<MemoryBudget, "open">;
+        readonly owner: string | undefined;
+        /** Time for which a response may wait for memory. */
+        readonly waitMs: number;
+        /** Largest response that is read. */
+        readonly maxBytes: number;
+    };
     /** Why a response is rejected by its head; undefined if its body is to be read. */
     readonly rejectionOf: (head: ResponseHead) => string | undefined;
 }
@@ -49,7 +62,9 @@
 export class ResponseReader implements Dispatcher.DispatchHandler {
     readonly result: Promise<ReadResult>;
     readonly #options: ResponseReaderOptions;
-    readonly #body = new BodyBuffer();
+    #body: BodyBuffer | BodyMemory = new BodyBuffer();
+    #reservation: BodyReservation | undefined;
+    #hasBody = true;
     readonly #account: ReturnType<BufferBudget["open"]>;
     #settle: (result: ReadResult) => void = () => {};
     #controller: Dispatcher.DispatchController | undefined;
@@ -63,7 +78,9 @@
     constructor(options: ResponseReaderOptions) {
         this.#options = options;
         this.result = new Promise(resolve => this.#settle = resolve);
-        this.#account = options.buffers.open(() => this.#end({ kind: "evicted" }));
+        this.#account = options.buffers.open(reason =>
+            this.#end(reason === "memory" ? { kind: "no-memory" } : { kind: "evicted" })
+        );
     }
 
     /** Bytes of the body that have arrived. */
@@ -84,6 +101,7 @@
 
     /** Sends a request; its result is {@link result}. */
     start(client: Client, request: Dispatcher.DispatchOptions): void {
+        this.#hasBody = request.method !== "HEAD";
         try {
             client.dispatch(request, this);
         }
@@ -131,6 +149,28 @@
         const reason = this.#options.rejectionOf(head);
         if (reason !== undefined) {
             this.#end({ kind: "rejected", reason });
+            return;
+        }
+        this.#reserve(controller);
+    }
+
+    /** Asks for the memory of a large response, which stays at the upstream until there is some. */
+    #reserve(controller: Dispatcher.DispatchController): void {
+        const { memory } = this.#options;
+        const lengthBytes = this.#lengthBytes ?? Infinity;
+        if (memory === undefined || !this.#hasBody || lengthBytes <= smallBodyBytes || lengthBytes > memory.maxBytes) {
+            return;
+        }
+        this.#body = new BodyMemory(lengthBytes, true);
+        this.#reservation = memory.budget.open({
+            owner: memory.owner,
+            waitMs: memory.waitMs,
+            mayStall: true,
+            onGranted: () => controller.resume(),
+            onRejected: () => this.#end({ kind: "no-memory" }),
+        });
+        if (!this.#reservation.request(lengthBytes)) {
+            controller.pause();
         }
     }
 
@@ -140,7 +180,9 @@
         }
         this.#pieceCount++;
         this.#body.append(piece);
-        this.#account.add(piece.length);
+        if (this.#reservation === undefined) {
+            this.#account.add(piece.length);
+        }
     }
 
     onResponseEnd(): void {
@@ -159,9 +201,10 @@
         }
         this.#isEnded = true;
         this.#account.close();
+        this.#reservation?.close();
         this.#settle(result);
         if (result.kind !== "whole") {
-            this.#body.take();
+            this.#body.free();
             this.#controller?.abort(new Error("the response is not needed"));
         }
     }
--- a/packages/gateway/src/lib/request/upstream-connection-pool.ts
+++ b/packages/gateway/src/lib/request/upstream-connection-pool.ts
@@ -7,6 +7,7 @@
 import type { ListedUpstream } from "../model.js";
 import { BufferBudget } from "./buffer-budget.js";
 import { classifyFailure, encodingOf, mismatchOf } from "./call-result.js";
+import type { MemoryBudget } from "./memory-budget.js";
 import { ParserTurns } from "./parser-turns.js";
 import type { HeaderCodec, UpstreamClient, UpstreamRequest, UpstreamResult } from "./ports.js";
 import { ExcessError, ResponseReader } from "./response-reader.js";
@@ -35,6 +36,8 @@
 const endlessBodyBytes = 2 * 1_048_576;
 /** Number of requests after which a connection is closed, which bounds the ids that are kept for it. */
 const maxRequestsPerConnection = 100;
+/** Part of the time of a request for which its response may wait for memory. */
+const memoryWaitFraction = 1 / 2;
 /** Maximum number of idle connections to each upstream; an instance rarely has more requests in flight to one. */
 const maxIdlePerUpstream = 3;
 
@@ -54,6 +57,8 @@
     readonly codec: Pick<HeaderCodec, "decodeResponse">;
     /** Default: {@link maxBufferedBytes}. */
     readonly maxBufferedBytes?: number;
+    /** Memory of the process for callers, of which responses take a part; default: any. */
+    readonly memory?: Pick<MemoryBudget, "open" | "isExceeded">;
 }
 
 /** A connection without a request in flight. */
@@ -92,7 +97,10 @@
         this.#trials = new TrialRequests(options.clock);
         const bufferedBytes = options.maxBufferedBytes ?? maxBufferedBytes;
         // On a small machine, a single response of the maximum size is still served.
-        this.#buffers = new BufferBudget(Math.max(bufferedBytes * (1 - parserShare), maxResponseBytes));
+        this.#buffers = new BufferBudget(
+            Math.max(bufferedBytes * (1 - parserShare), maxResponseBytes),
+            () => options.memory?.isExceeded === true,
+        );
         this.#parserBuffers = new BufferBudget(bufferedBytes * parserShare);
     }
 
@@ -223,9 +231,18 @@
     }
 
     async #exchange(client: Client, request: UpstreamRequest): Promise<UpstreamResult> {
-        const { body, signal } = request;
+        const { body, signal, owner, timeoutMs } = request;
+        const { memory } = this.#options;
         const reader = new ResponseReader({
             buffers: this.#buffers,
+            ...(memory !== undefined && {
+                memory: {
+                    budget: memory,
+                    owner,
+                    waitMs: timeoutMs * memoryWaitFraction,
+                    maxBytes: maxResponseBytes,
+                },
+            }),
             rejectionOf: ({ status, headers }) =>
                 mismatchOf(this.#options.codec.decodeResponse(status, headers), request)
                     ?? encodingOf(framingOf(status, headers, request.method)),
@@ -235,7 +252,7 @@
         const timer = setTimeout(() => {
             state.isTimeout = true;
             reader.fail(new Error("no response in time"));
-        }, request.timeoutMs);
+        }, timeoutMs);
         const cancel = (): void => reader.fail(new Error("the caller has left"));
         signal.addEventListener("abort", cancel, { once: true });
         if (signal.aborted) {
@@ -268,6 +285,9 @@
             this.#trials.recordWhole(upstream);
             return;
         }
+        if (result.kind === "no-memory") {
+            return;
+        }
         this.#waste.record(upstream, waste);
         const isEndless = result.kind === "evicted" && waste.bodyBytes > endlessBodyBytes;
         if (isEndless || result.kind === "failed" && isExcess(result.error)) {
@@ -296,6 +316,9 @@
             const isOwnFault = metadata.isFromUpstream && mismatchOf(metadata, request) === undefined;
             return { kind: "broken", reason: `${status} is no status of HTTP`, hadHeaders: true, isOwnFault };
         }
+        if (result.kind === "no-memory") {
+            return { kind: "no-memory" };
+        }
         if (result.kind === "evicted") {
             return { kind: "broken", reason: "responses without end filled the buffers", hadHeaders: true };
         }
--- a/packages/gateway/src/lib/request/upstream-dispatcher.ts
+++ b/packages/gateway/src/lib/request/upstream-dispatcher.ts
@@ -252,6 +252,7 @@
             }),
             body: dispatched.body,
             requestId: dispatched.request.requestId,
+            owner: dispatched.organisation,
             timeoutMs,
             isRepeatable: dispatched.route.isIdempotent,
             signal,
@@ -329,4 +330,5 @@
 
 /** A result after which no further attempt is made. */
 const isFinal = (result: DispatchResult): boolean =>
-    result.kind === "cancelled" || result.kind === "invalid" || result.kind === "answer" && !result.isFailure;
+    result.kind === "cancelled" || result.kind === "invalid" || result.kind === "answer" && !result.isFailure
+    || result.kind === "unknown" && result.isFinal === true;
