Answer the pipelined requests that run when an instance stops

Cause: while an instance leaves, each response closed its connection, and RequestSequence cancels what runs behind a response that does.

Change: a response is written when its turn comes, and while the instance leaves only the last one of a connection's running requests carries "Connection: close". No further request starts before its turn then, so that it ends; those that were not passed on count as not read. A request that is rejected by its header never lets others run behind it.

Evidence: the unit test "a stop answers the pipelined requests that run" (four run, four answers, one "Connection: close", on the last).

--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -52,6 +52,8 @@
     readonly turns: TurnBudget;
     readonly bounds: ConnectionBounds;
     readonly limits: () => CallerLimits;
+    /** Whether requests that have not begun are left to another instance. */
+    readonly isLeaving: () => boolean;
     /** Response to a connection whose header is too long, or for which there is no memory. */
     readonly rejectionOf: (excess: UnfinishedExcess) => string;
     readonly reject: (reason: CallerRejection) => void;
@@ -84,7 +86,7 @@
 
     /** Takes a new connection, or closes it if there are too many that count more. */
     add(socket: Socket): void {
-        const { clock, bounds, budget, turns, limits, run, attach, reject } = this.#options;
+        const { clock, bounds, budget, turns, limits, run, attach, reject, isLeaving } = this.#options;
         if (this.#sessions.size >= bounds.maxConnections) {
             reject("connections");
             const evicted = this.#connectionToEvict();
@@ -97,7 +99,7 @@
         }
         const sequence = new RequestSequence<E>(run, {
             tryTake: () => {
-                const isFree = this.#earlyCount < bounds.maxEarlyRequests && !budget.isScarce;
+                const isFree = this.#earlyCount < bounds.maxEarlyRequests && !budget.isScarce && !isLeaving();
                 this.#earlyCount += isFree ? 1 : 0;
                 return isFree;
             },
@@ -166,6 +168,13 @@
         this.#sessions.get(connection)?.meter.reset();
     }
 
+    /** Resolves when it is a request's turn to be answered; with whether no request runs behind it. */
+    async waitForTurn(exchange: E): Promise<{ readonly isLast: boolean; }> {
+        const sequence = this.#sessions.get(exchange.connection)?.sequence;
+        await sequence?.turnOf(exchange);
+        return { isLast: sequence?.isLastRunning ?? true };
+    }
+
     /** Closes connections that are late with a header or do not take a response. Call it a few times a second. */
     review(): void {
         const nowMs = this.#options.clock.monotonicMs();
--- a/packages/gateway/src/lib/http/caller-pipelining.test.ts
+++ b/packages/gateway/src/lib/http/caller-pipelining.test.ts
@@ -88,6 +88,30 @@
     assert.is(maxRunning, 4);
 });
 
+// Guards against a stop that cuts requests which run at upstreams.
+test("a stop answers the pipelined requests that run, and the last answer closes the connection", async () => {
+    const targets: string[] = [];
+    await withServer(async received => {
+        targets.push(received.request.target);
+        await new Promise(resolve => setTimeout(resolve, received.request.target === "/safe/2" ? 20 : 60));
+        return echo(received);
+    }, async ({ port, flags, server }) => {
+        const response = exchange(
+            port,
+            [0, 1, 2, 3, 4, 5].map(number => `GET /safe/${number} HTTP/1.1\r\nHost: a\r\n\r\n`).join(""),
+        );
+        while (server.activeRequestCount < 4) {
+            await new Promise(resolve => setTimeout(resolve, 1));
+        }
+        flags.isLeaving = true;
+        const received = await response;
+        assert.equal([...received.matchAll(/GET (\S+) 0/g)].map(([, target]) => target), targets);
+        assert.is(targets.length, 4);
+        assert.is(received.match(/connection: close/gi)?.length, 1);
+        assert.ok(received.indexOf("connection: close") > received.indexOf("/safe/2 0"));
+    });
+});
+
 // Guards against a request that runs twice: behind one that closes the connection it would be sent again.
 test("a request that must not be repeated waits for the responses before it, and those behind it wait for it", async () => {
     const running = new Set<string>();
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -211,7 +211,7 @@
         });
         try {
             if (rejectedStatus !== undefined) {
-                this.#reject(exchange, rejectedStatus);
+                await this.#reject(exchange, rejectedStatus);
                 return;
             }
             const result: BodyResult = await body?.result ?? { kind: "rejected", reason: "memory" };
@@ -238,7 +238,7 @@
         }
         if (result.kind === "overhead") {
             this.#options.rejections.record("header");
-            this.#reject(exchange, 431);
+            await this.#reject(exchange, 431);
             return;
         }
         const isOverload = exchange.isOverload || result.kind === "rejected";
@@ -248,27 +248,33 @@
         const body = result.kind === "whole" ? result.body : undefined;
         const response = await this.#options.handle({ request, body, isOverload, receivedMs, signal });
         if (response !== undefined && !signal.aborted) {
-            this.#write(exchange, response, body === undefined);
+            await this.#write(exchange, response, body === undefined);
         }
     }
 
-    #reject(exchange: CallerExchange, status: number): void {
-        this.#write(exchange, { status, headers: [], body: new Uint8Array(0) }, true);
+    #reject(exchange: CallerExchange, status: number): Promise<void> {
+        return this.#write(exchange, { status, headers: [], body: new Uint8Array(0) }, true);
     }
 
-    #write(exchange: CallerExchange, response: HttpResponse, mustClose: boolean): void {
-        const { outgoing, owner } = exchange;
+    async #write(exchange: CallerExchange, response: HttpResponse, mustClose: boolean): Promise<void> {
+        const { outgoing, owner, disconnected } = exchange;
         const { budget, isLeaving } = this.#options;
+        const { connections } = this.#server;
         onEnd(exchange, budget.hold(response.body.length, owner));
+        // The requests behind it that run are answered, and only the last response closes the connection.
+        const { isLast: isLastRunning } = await connections.waitForTurn(exchange);
+        if (disconnected.signal.aborted) {
+            return;
+        }
         const headers = response.headers.filter(([name]) => !connectionHeaders.has(name));
         const hasBody = !bodilessStatuses.has(response.status);
         // A length lets the caller detect an early end, whatever ends the connection.
         const lengthHeader: [string, string][] = hasBody ? [["content-length", String(response.body.length)]] : [];
-        const isLast = mustClose || isLeaving();
+        const isLast = mustClose || isLeaving() && isLastRunning;
         const closeHeader: [string, string][] = isLast ? [["connection", "close"]] : [];
         outgoing.writeHead(response.status, [...headers, ...lengthHeader, ...closeHeader].flat());
         outgoing.end(hasBody ? response.body : undefined);
-        this.#server.connections.reviewReaders();
+        connections.reviewReaders();
     }
 }
 
--- a/packages/gateway/src/lib/http/request-sequence.ts
+++ b/packages/gateway/src/lib/http/request-sequence.ts
@@ -43,6 +43,8 @@
     #exchanges: E[] = [];
     #runningCount = 0;
     #earlyCount = 0;
+    /** Called when it is the turn of a request that has its response already. */
+    readonly #turnListeners = new Map<E, () => void>();
 
     constructor(run: (exchange: E) => void, early: EarlyRequests) {
         this.#run = run;
@@ -82,6 +84,19 @@
         this.#runNext();
     }
 
+    /** Resolves when the responses before that of a request are written, or when the connection has ended. */
+    turnOf(exchange: E): Promise<void> {
+        const index = this.#exchanges.indexOf(exchange);
+        return index <= 0
+            ? Promise.resolve()
+            : new Promise(resolve => this.#turnListeners.set(exchange, resolve));
+    }
+
+    /** Whether no request runs behind the first one. */
+    get isLastRunning(): boolean {
+        return this.#runningCount <= 1;
+    }
+
     /** The response of the first request is written; runs those that may run now. */
     finish(): void {
         this.#exchanges.shift()?.body?.close();
@@ -90,6 +105,10 @@
             this.#earlyCount--;
             this.#early.release();
         }
+        const first = this.#exchanges[0];
+        if (first !== undefined) {
+            this.#endWait(first);
+        }
         this.#runNext();
     }
 
@@ -101,12 +120,18 @@
         const ended = this.#exchanges;
         this.#exchanges = [];
         this.#runningCount = 0;
-        ended.forEach(({ body, disconnected }) => {
-            body?.close();
-            disconnected.abort();
+        ended.forEach(exchange => {
+            exchange.body?.close();
+            exchange.disconnected.abort();
+            this.#endWait(exchange);
         });
     }
 
+    #endWait(exchange: E): void {
+        this.#turnListeners.get(exchange)?.();
+        this.#turnListeners.delete(exchange);
+    }
+
     #runNext(): void {
         for (let next = this.#nextExchange(); next !== undefined; next = this.#nextExchange()) {
             this.#runningCount++;
