Bound the ports of the directory, readiness and metrics

What callers saw: silent connections at these ports took the descriptors that callers and servers need; pipelined requests at the metrics port were answered all at once; endless bodies were read, which kept the event loop busy.

Cause: these ports were plain HTTP servers without a bound on connections, requests in progress or bodies.

Change: they are BoundedServers as well, within the same budgets of memory and time. Each has a number of connections of its own (docs/OPERATIONS.md), taken off the descriptors of callers; beyond it, a connection that sent nothing makes room. Requests of a connection are answered one after the other, a body is not read and closes its connection, and the metrics that are asked for in one turn of the event loop share one text.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -7,8 +7,10 @@
 import { createFleetComponents } from "./gateway-components.js";
 import type { FleetComponents, GatewayFlags, GatewayOptions } from "./gateway-components.js";
 import { openAuxiliaryServer } from "./http/auxiliary-server.js";
-import type { AuxiliaryServer } from "./http/auxiliary-server.js";
+import type { AuxiliaryRoute, AuxiliaryServer } from "./http/auxiliary-server.js";
+import type { OtherPort } from "./http/caller-bounds.js";
 import { createCallerBudgets } from "./http/caller-budgets.js";
+import type { CallerBudgets } from "./http/caller-budgets.js";
 import { CallerServer, defaultCallerLimits } from "./http/caller-server.js";
 import type { GatewayInstance } from "./model.js";
 import { GatewayMetrics } from "./observe/metrics.js";
@@ -99,7 +101,7 @@
         handle: received => requests.handler.handle(received),
         isLeaving: () => flags.isLeaving,
     });
-    const auxiliaryServers = await openAuxiliaryServers(options, self, fleet, metrics);
+    const auxiliaryServers = await openAuxiliaryServers(options, { self, fleet, metrics, budgets });
     fleet.exchange.start();
     const stopTimers = startTimers(options, fleet, connections, requests.review);
     log.event("start", {
@@ -143,26 +145,38 @@
     };
 };
 
+interface AuxiliaryParts {
+    readonly self: GatewayInstance;
+    readonly fleet: FleetComponents;
+    readonly metrics: GatewayMetrics;
+    readonly budgets: CallerBudgets;
+}
+
 const openAuxiliaryServers = (
     { settings, endpoints, clock, random }: GatewayOptions,
-    self: GatewayInstance,
-    { roster, isReady }: FleetComponents,
-    metrics: GatewayMetrics,
+    { self, fleet: { roster, isReady }, metrics, budgets }: AuxiliaryParts,
 ): Promise<AuxiliaryServer[]> => {
     const { directoryAddress, readyAddress, metricsAddress, directoryTtlMaxSeconds } = settings();
     const keepMs = Math.min(directoryKeepMs, directoryTtlMaxSeconds * 1_000);
     const directory = new Directory({ self, roster, clock, random, isReady, keepMs });
+    const open = (port: OtherPort, address: string, route: AuxiliaryRoute): Promise<AuxiliaryServer> => {
+        const maxConnections = budgets.bounds.maxOtherConnections[port];
+        const bounds = { ...budgets.bounds, maxConnections, maxEarlyRequests: 0 };
+        return openAuxiliaryServer({ ...budgets, clock, address, routes: [route], bounds });
+    };
     return Promise.all([
-        openAuxiliaryServer(directoryAddress, [{
+        open("directory", directoryAddress, {
             path: endpoints.directoryPath,
             answer: query => Response.json(endpoints.directoryBody(directory.answer(endpoints.callerZone(query)))),
-        }]),
-        openAuxiliaryServer(readyAddress, [
-            { path: endpoints.readyPath, answer: () => new Response(null, { status: isReady() ? 200 : 503 }) },
-        ]),
-        openAuxiliaryServer(metricsAddress, [
-            { path: metricsPath, answer: async () => new Response(await metrics.text()) },
-        ]),
+        }),
+        open("ready", readyAddress, {
+            path: endpoints.readyPath,
+            answer: () => new Response(null, { status: isReady() ? 200 : 503 }),
+        }),
+        open("metrics", metricsAddress, {
+            path: metricsPath,
+            answer: async () => new Response(await metrics.text()),
+        }),
     ]);
 };
 
--- a/packages/gateway/src/lib/http/auxiliary-server.ts
+++ b/packages/gateway/src/lib/http/auxiliary-server.ts
@@ -1,8 +1,21 @@
 /** HTTP servers for the directory, the readiness check and the metrics. */
-import { serve } from "@hono/node-server";
-import { splitAddress } from "@sniperoad/daemon";
+import { getRequestListener } from "@hono/node-server";
+import type { Clock } from "@sniperoad/core";
 import { Hono } from "hono";
-import type { Server } from "node:http";
+import type { MemoryBudget } from "../request/memory-budget.js";
+import { BoundedServer } from "./bounded-server.js";
+import type { ConnectionBounds } from "./caller-connections.js";
+import type { CallerRejections } from "./caller-rejections.js";
+import { hasBody } from "./request-body.js";
+import type { Exchange } from "./request-sequence.js";
+import type { TurnBudget } from "./turn-budget.js";
+
+/** Limits of these requests, which have a short header and no body. */
+const limits = { maxHeaderBytes: 8_192, maxBodyBytes: 0, headerTimeoutMs: 5_000, idleTimeoutMs: 5_000 };
+const rejections = {
+    "too-long": "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+    "no-memory": "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+};
 
 /** A path and its handler. */
 export interface AuxiliaryRoute {
@@ -15,25 +28,47 @@
     close(): void;
 }
 
+/** Options of {@link openAuxiliaryServer}. */
+export interface AuxiliaryServerOptions {
+    readonly clock: Clock;
+    readonly address: string;
+    readonly routes: readonly AuxiliaryRoute[];
+    readonly bounds: ConnectionBounds;
+    /** Shared with the callers' server. */
+    readonly budget: MemoryBudget;
+    readonly turns: TurnBudget;
+    readonly rejections: CallerRejections;
+}
+
 /**
- * Opens an HTTP server for the `GET` requests of some paths.
+ * Opens an HTTP server for the `GET` requests of some paths. The requests of a connection are answered one after the
+ * other, and one with a body closes its connection, as the body is not read.
  *
  * @throws Error when the address is in use
  * @example
- * const server = await openAuxiliaryServer("10.0.0.5:8081", [{ path: "/ready", answer: () => new Response("ok") }]);
+ * const routes = [{ path: "/ready", answer: () => new Response("ok") }];
+ * const server = await openAuxiliaryServer({ ...options, address: "10.0.0.5:8081", routes });
  */
-export const openAuxiliaryServer = (address: string, routes: readonly AuxiliaryRoute[]): Promise<AuxiliaryServer> => {
+export const openAuxiliaryServer = async (options: AuxiliaryServerOptions): Promise<AuxiliaryServer> => {
     const app = new Hono();
-    routes.forEach(({ path, answer }) => app.get(path, c => answer(new URL(c.req.url).searchParams)));
-    const { host, port } = splitAddress(address);
-    return new Promise((resolve, reject) => {
-        const server = serve({ fetch: app.fetch, hostname: host, port, overrideGlobalObjects: false }, () =>
-            resolve({
-                close: () => {
-                    server.close();
-                    (server as Server).closeAllConnections();
-                },
-            }));
-        server.once("error", reject);
+    options.routes.forEach(({ path, answer }) => app.get(path, c => answer(new URL(c.req.url).searchParams)));
+    const respond = getRequestListener(app.fetch, { overrideGlobalObjects: false, autoCleanupIncoming: false });
+    const server = new BoundedServer<Exchange>({
+        ...options,
+        limits: () => limits,
+        isLeaving: () => false,
+        reject: reason => options.rejections.record(reason),
+        rejectionOf: excess => rejections[excess],
+        receive: (incoming, outgoing, connection) => {
+            if (hasBody(incoming) && incoming.headers["content-length"] !== "0") {
+                outgoing.shouldKeepAlive = false;
+            }
+            const disconnected = new AbortController();
+            const exchange = { connection, incoming, outgoing, body: undefined, isRepeatable: false, disconnected };
+            server.connections.receive(exchange);
+        },
+        run: ({ incoming, outgoing }) => void respond(incoming, outgoing),
     });
+    await server.listen(options.address);
+    return { close: () => server.closeNow() };
 };
--- a/packages/gateway/src/lib/observe/metrics.ts
+++ b/packages/gateway/src/lib/observe/metrics.ts
@@ -33,6 +33,8 @@
  */
 export class GatewayMetrics {
     readonly #registry = new Registry();
+    /** The text that is being collected. */
+    #text: Promise<string> | undefined;
     readonly #requests = new Counter({
         name: "sniperoad_requests_total",
         help: "Requests of callers by route and status",
@@ -125,9 +127,12 @@
         this.#callerRejections.inc({ reason });
     }
 
-    /** Returns all metrics in the Prometheus text format. */
+    /** Returns all metrics in the Prometheus text format. Calls in the same turn of the event loop share one text. */
     text(): Promise<string> {
-        return this.#registry.metrics();
+        this.#text ??= this.#registry.metrics().finally(() => {
+            this.#text = undefined;
+        });
+        return this.#text;
     }
 
     #gauge(name: string, help: string, read: () => number): void {
