Bound the connections that other instances open, and their incomplete frames

What callers saw: silent connections at the peers' port took all descriptors, and ordinary requests were reset.

Cause: TcpPeers accepted any number of connections, each with up to 1 MB of a frame that is not complete.

Incomplete frames have 16 MB in all.

A unit test shows that a peer with a message keeps its connection.

--- a/packages/daemon/src/lib/frames.ts
+++ b/packages/daemon/src/lib/frames.ts
@@ -83,6 +83,11 @@
 export class FrameReader {
     #buffered: Buffer = Buffer.alloc(0);
 
+    /** Bytes of a frame that is not complete. */
+    get bufferedBytes(): number {
+        return this.#buffered.length;
+    }
+
     /**
      * Adds a chunk and returns the frames that are complete.
      *
--- a/packages/daemon/src/lib/tcp-peers.test.ts
+++ b/packages/daemon/src/lib/tcp-peers.test.ts
@@ -188,4 +188,26 @@
     impostor.destroy();
 });
 
+// Guards against silent connections that take all descriptors of a process.
+test("connections beyond the bound replace those without a message", async () => {
+    const peers = new TcpPeers({ self: serverId, clock: systemClock, log: { event: () => {} }, maxIncoming: 2 });
+    closers.push(() => peers.close());
+    peers.handle(addMethod, (_from, { a, b }) => a + b);
+    const port = await peers.listen("127.0.0.1", 0);
+    const { clientPeers } = await openPeers();
+    const target = id<InstanceId>("bounded");
+    clientPeers.setAddress(target, `127.0.0.1:${port}`);
+    assert.is(await clientPeers.call(target, addMethod, { a: 1, b: 1 }, ampleTimeoutMs), 2);
+    let closedCount = 0;
+    for (let number = 0; number < 5; number++) {
+        const silent = createConnection({ host: "127.0.0.1", port });
+        silent.on("error", () => {}).on("close", () => closedCount++);
+        closers.push(() => silent.destroy());
+        await new Promise(resolve => silent.once("connect", resolve));
+    }
+    // On the connection that was opened first.
+    assert.is(await clientPeers.call(target, addMethod, { a: 2, b: 2 }, ampleTimeoutMs), 4);
+    assert.is(closedCount, 4);
+});
+
 test.run();
--- a/packages/daemon/src/lib/tcp-peers.ts
+++ b/packages/daemon/src/lib/tcp-peers.ts
@@ -3,7 +3,7 @@
 import type { Clock, InstanceId, LogPort, PeerMethod, PeerPort, Timer } from "@sniperoad/core";
 import { createConnection, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
-import { encodeFrame, FrameReader, protocolVersion } from "./frames.js";
+import { encodeFrame, FrameError, FrameReader, protocolVersion } from "./frames.js";
 import type { Frame } from "./frames.js";
 
 type Handler = (from: InstanceId, body: unknown) => Promise<unknown>;
@@ -20,11 +20,19 @@
     readonly self: InstanceId;
     readonly clock: Clock;
     readonly log: LogPort;
+    /** Maximum number of connections from peers; default: any number. */
+    readonly maxIncoming?: number;
 }
 
 /** Unsent bytes per connection above which messages are dropped, so that a slow peer does not exhaust memory. */
 const maxUnsentBytes = 4 * 1_048_576;
 
+/** Bytes of incomplete frames on all connections; beyond, a connection that brings more of one is closed. */
+const maxUnfinishedBytes = 16 * 1_048_576;
+
+/** Connections closed for their number for each line on them in the log. */
+const evictionsPerLine = 100;
+
 /**
  * Time for which a connection on which a call got no reply is kept for the replies to its other calls. New calls use
  * another connection from then on.
@@ -49,7 +57,13 @@
     readonly #handlers = new Map<string, Handler>();
     readonly #addresses = new Map<InstanceId, string>();
     readonly #outgoing = new Map<InstanceId, Socket>();
+    /** In the order in which they were opened, or in which their last message arrived. */
     readonly #incoming = new Set<Socket>();
+    /** Connections on which a message has arrived. */
+    readonly #heard = new WeakSet<Socket>();
+    #evictedCount = 0;
+    /** Bytes of incomplete frames on all connections. */
+    #unfinishedBytes = 0;
     /** Outgoing connections that are used for the replies to pending calls only. */
     readonly #retired = new Set<Socket>();
     readonly #pendingCalls = new Map<number, PendingCall>();
@@ -66,6 +80,7 @@
     listen(host: string, port: number): Promise<number> {
         return new Promise((resolve, reject) => {
             const server = createServer(socket => {
+                this.#makeRoom();
                 this.#incoming.add(socket);
                 socket.on("close", () => this.#incoming.delete(socket));
                 this.#readFrames(socket);
@@ -158,6 +173,23 @@
         return { version: protocolVersion, kind: "request", sequence, from: this.#options.self, method, body };
     }
 
+    /** Closes the connection without a message, or else with the oldest last message, if there are too many. */
+    #makeRoom(): void {
+        const { maxIncoming = Infinity, log } = this.#options;
+        if (this.#incoming.size < maxIncoming) {
+            return;
+        }
+        const sockets = [...this.#incoming];
+        const closed = sockets.find(socket => !this.#heard.has(socket)) ?? sockets[0];
+        if (closed !== undefined) {
+            this.#incoming.delete(closed);
+            closed.resetAndDestroy();
+            if (this.#evictedCount++ % evictionsPerLine === 0) {
+                log.event("peer-connection-evicted", { maxIncoming, count: this.#evictedCount });
+            }
+        }
+    }
+
     /** Returns the outgoing connection to a peer and opens it if necessary; undefined if its address is unknown. */
     #connect(to: InstanceId): Socket | undefined {
         const existing = this.#outgoing.get(to);
@@ -213,11 +245,25 @@
 
     #readFrames(socket: Socket): void {
         const reader = new FrameReader();
+        let countedBytes = 0;
+        const count = (bufferedBytes: number): void => {
+            this.#unfinishedBytes += bufferedBytes - countedBytes;
+            countedBytes = bufferedBytes;
+        };
         socket.setNoDelay(true);
         socket.on("error", () => socket.destroy());
+        socket.on("close", () => count(0));
         socket.on("data", (chunk: Buffer) => {
+            if (socket.destroyed) {
+                return;
+            }
             try {
-                reader.push(chunk).forEach(frame => this.#receive(socket, frame));
+                const frames = reader.push(chunk);
+                count(reader.bufferedBytes);
+                if (this.#unfinishedBytes > maxUnfinishedBytes) {
+                    throw new FrameError(`incomplete frames take more than ${maxUnfinishedBytes} bytes in all`);
+                }
+                frames.forEach(frame => this.#receive(socket, frame));
             }
             catch (error) {
                 this.#options.log.event("peer-frame-rejected", {
@@ -230,6 +276,10 @@
     }
 
     #receive(socket: Socket, frame: Frame): void {
+        this.#heard.add(socket);
+        if (this.#incoming.delete(socket)) {
+            this.#incoming.add(socket);
+        }
         if (frame.kind === "request") {
             void this.#serve(socket, frame);
             return;
--- a/packages/gateway/src/lib/gateway-components.ts
+++ b/packages/gateway/src/lib/gateway-components.ts
@@ -111,6 +111,8 @@
     readonly flags: GatewayFlags;
     readonly store: StorePort;
     readonly onConfig: () => void;
+    /** Connections that other instances may open. */
+    readonly maxPeerConnections: number;
 }
 
 /**
@@ -121,7 +123,7 @@
 export const createFleetComponents = async (options: GatewayOptions, setup: FleetSetup): Promise<FleetComponents> => {
     const { clock, random, log, sha256, settings } = options;
     const { self, flags, store, onConfig } = setup;
-    const { datagrams, peers } = await openSockets(options, self);
+    const { datagrams, peers } = await openSockets(options, setup);
     const announce = (): void => exchange.sendHeartbeatSoon();
     const roster = new Roster(clock);
     const fleetSize = (): FleetSize => ({ live: roster.live().length + 1, known: roster.known().length + 1 });
@@ -211,11 +213,11 @@
 
 const openSockets = async (
     { clock, log }: GatewayOptions,
-    self: GatewayInstance,
+    { self, maxPeerConnections }: FleetSetup,
 ): Promise<Pick<FleetComponents, "datagrams" | "peers">> => {
     const { host, port } = splitAddress(self.peerAddress);
     const datagrams = await UdpDatagrams.open(self.peerAddress, log);
-    const peers = new TcpPeers({ self: self.id, clock, log });
+    const peers = new TcpPeers({ self: self.id, clock, log, maxIncoming: maxPeerConnections });
     await peers.listen(host, port);
     return { datagrams, peers };
 };
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -87,6 +87,7 @@
         flags,
         store,
         onConfig: () => front.applyLimits(),
+        maxPeerConnections: budgets.bounds.maxOtherConnections.peers,
     });
     const requests = createRequestComponents(options, fleet, metrics, connections);
     const front = await CallerServer.open({
