Close upstream connections that carried a very long request id

The ids of the last 100 requests of a kept connection are remembered, so that a repeated response is not taken for another. A caller may choose an id of nearly the size of a header: 16 kB for each, up to 1.6 MB a connection, which no budget counted. A connection that carried an id of over 256 characters is not kept. The unit test fails without the change: the second request uses the same connection.

--- a/packages/gateway/src/lib/request/upstream-connection-pool.test.ts
+++ b/packages/gateway/src/lib/request/upstream-connection-pool.test.ts
@@ -100,6 +100,16 @@
         assert.is(connections(), 1);
     }));
 
+// Guards against ids of callers that fill the heap, up to the size of a header each.
+test("a connection that carried a very long request id is not kept", () => {
+    const longId = "r".repeat(10_000);
+    return withUpstream([okResponse(longId), okResponse("r2")], async (call, connections) => {
+        assert.is((await call(longId)).kind, "answer");
+        assert.is((await call("r2")).kind, "answer");
+        assert.is(connections(), 2);
+    });
+});
+
 // Guards against a response that reaches the wrong request, and a truncated response that looks complete.
 for (
     const [name, response, expected] of [
--- a/packages/gateway/src/lib/request/upstream-connection-pool.ts
+++ b/packages/gateway/src/lib/request/upstream-connection-pool.ts
@@ -38,6 +38,8 @@
 const maxRequestsPerConnection = 100;
 /** Part of the time of a request for which its response may wait for memory. */
 const memoryWaitFraction = 1 / 2;
+/** Length of an id up to which it is kept; a connection that carried a longer one is closed. Callers choose the ids. */
+const maxKeptIdLength = 256;
 /** Maximum number of idle connections to each upstream; an instance rarely has more requests in flight to one. */
 const maxIdlePerUpstream = 3;
 
@@ -131,7 +133,8 @@
         }
         const result = await this.#exchange(client, request);
         // Without an id, a response that the upstream repeats later could not be told from the next one.
-        if (result.kind === "answer" && !client.destroyed && request.requestId !== undefined) {
+        const isReusable = request.requestId !== undefined && request.requestId.length <= maxKeptIdLength;
+        if (result.kind === "answer" && !client.destroyed && isReusable) {
             this.#release(request.upstream.id, client);
         }
         else {
