Keep small responses while other memory is used up

A response that was being read was given up as soon as all memory for callers was in use, also one of a few bytes, although that frees nothing: ordinary requests in flight got a 502 because others did not take their responses. The new unit test fails without it: both buffers go.

--- a/packages/gateway/src/lib/request/buffer-budget.test.ts
+++ b/packages/gateway/src/lib/request/buffer-budget.test.ts
@@ -22,4 +22,18 @@
     assert.equal(evicted, ["large"]);
 });
 
+// Guards against ordinary responses that are given up because callers do not take those that came before.
+test("a buffer is evicted when other memory is used up, unless it is small", () => {
+    let isExceeded = false;
+    const budget = new BufferBudget(1_000_000, () => isExceeded);
+    const evicted: string[] = [];
+    const small = budget.open(reason => evicted.push(`small ${reason}`));
+    const large = budget.open(reason => evicted.push(`large ${reason}`));
+    large.add(100_000);
+    isExceeded = true;
+    small.add(1_000);
+    small.add(1_000);
+    assert.equal(evicted, ["large memory"]);
+});
+
 test.run();
--- a/packages/gateway/src/lib/request/buffer-budget.ts
+++ b/packages/gateway/src/lib/request/buffer-budget.ts
@@ -1,4 +1,5 @@
 /** Bounds the memory of responses that are read at the same time. */
+import { smallBodyBytes } from "./memory-budget.js";
 
 /** A buffer that is being filled. */
 export interface BufferAccount {
@@ -59,20 +60,20 @@
     }
 
     #enforce(): void {
-        for (let reason = this.#excess(); reason !== undefined; reason = this.#excess()) {
-            const largest = [...this.#accounts].reduce((left, right) =>
-                right.sizeBytes > left.sizeBytes ? right : left
-            );
-            this.#close(largest);
-            largest.onEvict(reason);
+        for (let excess = this.#excess(); excess !== undefined; excess = this.#excess()) {
+            this.#close(excess.account);
+            excess.account.onEvict(excess.reason);
         }
     }
 
-    #excess(): EvictionReason | undefined {
-        if (this.#totalBytes > this.#maxBytes) {
-            return "budget";
+    /** The buffer to give up; small ones stay if only other memory is used up, as they would free little. */
+    #excess(): { readonly account: OpenAccount; readonly reason: EvictionReason; } | undefined {
+        const reason = this.#totalBytes > this.#maxBytes ? "budget" : "memory";
+        if (this.#totalBytes === 0 || reason === "memory" && !this.#isMemoryExceeded()) {
+            return undefined;
         }
-        return this.#totalBytes > 0 && this.#isMemoryExceeded() ? "memory" : undefined;
+        const account = [...this.#accounts].reduce((left, right) => right.sizeBytes > left.sizeBytes ? right : left);
+        return reason === "memory" && account.sizeBytes <= smallBodyBytes ? undefined : { account, reason };
     }
 
     #close(account: OpenAccount): void {
