--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -205,6 +205,7 @@
         });
     }
 
+    /** Ends all connections, also those with a request. */
     closeAll(): void {
         this.#sessions.forEach(({ connection }) => connection.destroy());
     }
