Give requests that are answered at once their turns

What callers saw: beside 300 connections with short pipelined requests for an unknown route, ordinary requests got no answer (0 of 3 in 6 s); the longest turn of the event loop was 505 ms on.

Cause: the end of a response runs the next request of its connection at once. If that one is answered at once as well, they follow each other within one turn, for all connections.

Change: a request that waits behind another runs in the turns of the connection, and a request is charged as 4 kB of parsing, so that the time is checked after the first one and busy connections come last. The memory that a request takes while it runs counts only from then on, as up to 25 short ones wait on a connection.

The new unit test fails without the change: 21 requests in one turn (3 allowed).

--- a/packages/gateway/src/lib/http/caller-connection.ts
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -125,6 +125,16 @@
         this.#controlSocket();
     }
 
+    /** Charges work that a request takes besides the parsing of its bytes. */
+    charge(workBytes: number): void {
+        this.#usedInIntervalBytes += workBytes;
+    }
+
+    /** Runs a task in this turn of the event loop or a later one, behind those of connections that have used less. */
+    runInTurn(task: () => void): void {
+        this.#options.turns.continueLater(task, this.#usedBytes());
+    }
+
     /** Ends the connection with a reset, so that no response on it can pass for a whole one. */
     reset(): void {
         this.#socket.resetAndDestroy();
@@ -231,22 +241,24 @@
         return first.subarray(0, sizeBytes);
     }
 
-    /** Whether others have their turn first; the clock is not read for what an ordinary request takes. */
+    /** Whether others have their turn first; the clock is not read for what a first request takes. */
     #mustYield(passedBytes: number): boolean {
         const { turns } = this.#options;
-        const isLittle = passedBytes < bytesPerTurn;
-        return turns.isContended ? !isLittle || !turns.hasTime() : !isLittle && !turns.hasTime();
+        if (turns.isContended) {
+            return passedBytes >= bytesPerTurn || !turns.hasTime();
+        }
+        return this.#usedInIntervalBytes >= bytesPerTurn && !turns.hasTime();
     }
 
     #continueLater(): void {
         this.#isQueued = true;
-        this.#options.turns.continueLater(() => {
+        this.runInTurn(() => {
             this.#isQueued = false;
             this.pump();
-        }, this.#usedBytes());
+        });
     }
 
-    /** Bytes that the parser got in the current interval. */
+    /** Bytes that the parser got in the current interval, and the work that was charged. */
     #usedBytes(): number {
         const nowMs = this.#options.clock.monotonicMs();
         if (nowMs - this.#usedSinceMs >= usedIntervalMs) {
--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -22,6 +22,8 @@
 /** Memory of a connection with its parser: its objects, and what lies outside the heap. */
 const connectionHeapBytes = 10_240;
 const connectionNativeBytes = 24_576;
+/** Bytes that take as long to parse as a request takes to be handled. */
+const requestWorkBytes = 4_096;
 const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n";
 
 /** Bounds on the connections of one server. */
@@ -157,6 +159,7 @@
             return;
         }
         session.meter.reset();
+        connection.charge(requestWorkBytes);
         connection.headerStartedMs = undefined;
         session.hasRequested = true;
         outgoing.on("finish", () => this.#finish(session));
@@ -239,7 +242,16 @@
         if (sequence.isIdle) {
             connection.expectHeader();
         }
-        connection.pump();
+        if (sequence.hasWaiting) {
+            // Requests that are answered at once would otherwise follow each other within one turn of the event loop.
+            connection.runInTurn(() => {
+                sequence.runNext();
+                connection.pump();
+            });
+        }
+        else {
+            connection.pump();
+        }
     }
 
     #areResponsesScarce(): boolean {
--- a/packages/gateway/src/lib/http/caller-pipelining.test.ts
+++ b/packages/gateway/src/lib/http/caller-pipelining.test.ts
@@ -154,4 +154,31 @@
     });
 });
 
+// Guards against requests that follow each other within one turn of the event loop, while all others wait.
+test("requests that are answered at once leave turns to others", async () => {
+    let turn = 0;
+    let isDone = false;
+    const countTurn = (): void => {
+        turn++;
+        if (!isDone) {
+            setImmediate(countTurn);
+        }
+    };
+    countTurn();
+    const handledByTurn = new Map<number, number>();
+    await withServer(received => {
+        const endMs = performance.now() + 6;
+        while (performance.now() < endMs) {
+            // Takes more than half of the time of a turn.
+        }
+        handledByTurn.set(turn, (handledByTurn.get(turn) ?? 0) + 1);
+        return echo(received);
+    }, async ({ port }) => {
+        const last = "GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        await exchange(port, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n".repeat(20) + last);
+    });
+    isDone = true;
+    assert.ok(Math.max(...handledByTurn.values()) <= 3, [...handledByTurn.values()].join());
+});
+
 test.run();
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -11,7 +11,7 @@
 import type { CallerConnection } from "./caller-connection.js";
 import type { ConnectionBounds } from "./caller-connections.js";
 import type { CallerRejections } from "./caller-rejections.js";
-import { compactRequest, requestHeapBytes } from "./header-memory.js";
+import { compactRequest, requestHeapBytes, runningRequestBytes } from "./header-memory.js";
 import { hasBody, RequestBody } from "./request-body.js";
 import type { BodyResult } from "./request-body.js";
 import type { Exchange } from "./request-sequence.js";
@@ -62,6 +62,8 @@
     /** Whether there was no memory for a further request when its header was read. */
     readonly isOverload: boolean;
     readonly receivedMs: number;
+    /** Counts the memory that it takes while it runs. */
+    readonly onRun: () => void;
 }
 
 /**
@@ -138,8 +140,8 @@
         const decoded = codec.decodeRequest(incoming.method ?? "GET", target, headers);
         const owner = organisationOf(decoded);
         const memory = budget.heap.open();
-        const isOverload = !budget.hasRoomFor(owner)
-            || !memory.tryResize(requestHeapBytes(target, incoming.rawHeaders), owner);
+        const heapBytes = requestHeapBytes(target, incoming.rawHeaders);
+        const isOverload = !budget.hasRoomFor(owner) || !memory.tryResize(heapBytes, owner);
         const isRejected = rejectedStatus !== undefined || isOverload;
         const request = compactRequest(isRejected ? { ...decoded, headers: [] } : decoded);
         const isBodyWanted = rejectedStatus === undefined && !(isOverload && hasBody(incoming));
@@ -156,6 +158,7 @@
             isRepeatable,
             receivedMs,
             disconnected,
+            onRun: () => memory.resize(heapBytes + runningRequestBytes),
         };
         const exchange = { ...common, body: isBodyWanted ? this.#openBody(common) : undefined };
         // The compact request is kept instead.
@@ -201,6 +204,7 @@
     async #run(exchange: CallerExchange): Promise<void> {
         const { body, outgoing, rejectedStatus, disconnected } = exchange;
         this.#activeRequests++;
+        exchange.onRun();
         onEnd(exchange, () => {
             this.#activeRequests--;
         });
--- a/packages/gateway/src/lib/http/header-memory.ts
+++ b/packages/gateway/src/lib/http/header-memory.ts
@@ -2,19 +2,21 @@
 import type { Headers } from "@sniperoad/core";
 import type { DecodedRequest } from "../model.js";
 
-/** A request with its objects in the HTTP server, the dispatcher and the connection to the upstream. */
-const requestBytes = 24_576;
+/** A request with its objects in the HTTP server. */
+const requestBytes = 8_192;
+/** What a request takes in addition while it runs: its objects in the dispatcher and the connection to the upstream. */
+export const runningRequestBytes = 16_384;
 /** A header field: its strings, their places in the lists of this process and undici, and the line that is sent. */
 const fieldBytes = 160;
 /** Memory for each byte of a header that is not complete, if all of its fields are short. */
 const unfinishedBytesPerByte = 12;
 
 /**
- * Memory of a request with a header until its response.
+ * Memory of a request with a header until its response, besides {@link runningRequestBytes}.
  *
  * @param rawHeaders names and values in turn, as in `IncomingMessage.rawHeaders`
  * @example
- * requestHeapBytes("/small/", ["host", "a"]); // 24,748
+ * requestHeapBytes("/small/", ["host", "a"]); // 8,364
  */
 export const requestHeapBytes = (target: string, rawHeaders: readonly string[]): number =>
     rawHeaders.reduce((sum, text) => sum + text.length, target.length)
--- a/packages/gateway/src/lib/http/request-sequence.ts
+++ b/packages/gateway/src/lib/http/request-sequence.ts
@@ -35,6 +35,7 @@
  * const sequence = new RequestSequence(exchange => run(exchange), earlyRequests);
  * sequence.add(exchange);
  * sequence.finish();
+ * sequence.runNext();
  */
 export class RequestSequence<E extends Exchange> {
     readonly #run: (exchange: E) => void;
@@ -81,7 +82,7 @@
 
     add(exchange: E): void {
         this.#exchanges.push(exchange);
-        this.#runNext();
+        this.runNext();
     }
 
     /** Resolves when the responses before that of a request are written, or when the connection has ended. */
@@ -97,7 +98,12 @@
         return this.#runningCount <= 1;
     }
 
-    /** The response of the first request is written; runs those that may run now. */
+    /** Whether a request waits behind others. */
+    get hasWaiting(): boolean {
+        return this.#exchanges.length > this.#runningCount;
+    }
+
+    /** The response of the first request is written; `runNext` runs those that may run now. */
     finish(): void {
         this.#exchanges.shift()?.body?.close();
         this.#runningCount = Math.max(0, this.#runningCount - 1);
@@ -109,7 +115,6 @@
         if (first !== undefined) {
             this.#endWait(first);
         }
-        this.#runNext();
     }
 
     /** The connection has ended; the requests that wait are not run, and the others are cancelled. */
@@ -132,7 +137,8 @@
         this.#turnListeners.delete(exchange);
     }
 
-    #runNext(): void {
+    /** Runs the requests that may run now. */
+    runNext(): void {
         for (let next = this.#nextExchange(); next !== undefined; next = this.#nextExchange()) {
             this.#runningCount++;
             this.#run(next);
