Count untaken responses towards the share of their owner

Cause: responses of an owner were read while those being read kept to half of the budget, whatever waited for its callers; then `hasRoomFor` refused all requests of the owner.

Change: untaken responses count towards the share when a large one is to be read, and the share is an eighth smaller beside them, so that further requests find room.

The unit test fails without the change.

--- a/packages/gateway/src/lib/request/memory-budget.test.ts
+++ b/packages/gateway/src/lib/request/memory-budget.test.ts
@@ -136,4 +136,16 @@
     assert.is(budget.heldBytes, 0);
 });
 
+// Guards against callers of an owner that take no responses, so that its other callers get none either.
+test("untaken responses of an owner count towards its share, which leaves room for small ones", () => {
+    const { budget, open } = createBudget();
+    budget.hold(large(0.3), "a");
+    assert.not(open("first", "a").request(large(0.2)));
+    assert.ok(open("second", "b").request(large(0.2)));
+    budget.hold(large(0.15), "a");
+    assert.ok(budget.hasRoomFor("a"));
+    budget.hold(large(0.1), "a");
+    assert.not(budget.hasRoomFor("a"));
+});
+
 test.run();
--- a/packages/gateway/src/lib/request/memory-budget.ts
+++ b/packages/gateway/src/lib/request/memory-budget.ts
@@ -7,7 +7,7 @@
 export const smallBodyBytes = 65_536;
 /** Share of the budget that only small bodies may use, so that large ones never keep them out. */
 const smallShare = 1 / 8;
-/** Share of the budget for the large bodies of one owner, unless it has a single one. */
+/** Share of the budget for the large bodies and the untaken responses of one owner, unless it has a single one. */
 const ownerShare = 1 / 2;
 /** Bytes that must arrive within a time, for a body to count as making progress. */
 const progressBytes = 16_384;
@@ -239,8 +239,11 @@
             return "budget";
         }
         const ownLargeBytes = grantedBytes > smallBodyBytes ? grantedBytes : 0;
-        const otherBytes = this.#largeByOwner.get(owner) - ownLargeBytes;
-        return !isSmall && otherBytes > 0 && otherBytes + sizeBytes > maxBytes * ownerShare ? "share" : undefined;
+        const heldBytes = this.#heldByOwner.get(owner);
+        const otherBytes = this.#largeByOwner.get(owner) - ownLargeBytes + heldBytes;
+        // Beside untaken responses, large ones leave the owner room for further requests, see `hasRoomFor`.
+        const share = heldBytes > 0 ? ownerShare - smallShare : ownerShare;
+        return !isSmall && otherBytes > 0 && otherBytes + sizeBytes > maxBytes * share ? "share" : undefined;
     }
 
     #grant(entry: Entry, sizeBytes: number): void {
