Free the memory of a large response once its caller has it

Large responses with a length lie in pages of their own since they are read by their length; the pages are freed when the response is written or its connection has ended.

A unit test sends 8 MB to a slow reader: the content is whole, and the memory is freed then.

--- a/packages/gateway/src/lib/http/caller-server.test.ts
+++ b/packages/gateway/src/lib/http/caller-server.test.ts
@@ -1,6 +1,7 @@
 import { createConnection } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { BodyMemory } from "../request/body-memory.js";
 import { echo, exchange, get, withServer } from "./caller-server.fixture.js";
 
 // Guards against normalising the path.
@@ -181,4 +182,24 @@
         assert.match(received, /connection: close[^]*GET \/late 0$/i);
     }));
 
+// Guards against a response whose memory is freed while its caller still reads it, and against one that stays.
+test("a large response reaches a slow reader whole, and its memory is freed then", async () => {
+    const content = Buffer.alloc(8 * 1_048_576, "0123456789abcdef");
+    const memory = new BodyMemory(content.length, true);
+    memory.append(content);
+    const body = memory.take();
+    await withServer(() => Promise.resolve({ status: 200, headers: [], body }), async ({ port }) => {
+        const socket = createConnection({ host: "127.0.0.1", port });
+        socket.write("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        const parts: Buffer[] = [];
+        for await (const part of socket as AsyncIterable<Buffer>) {
+            parts.push(part);
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        const received = Buffer.concat(parts);
+        assert.ok(received.subarray(received.indexOf("\r\n\r\n") + 4).equals(content));
+        await until(() => body.length === 0);
+    });
+});
+
 test.run();
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { errorMessage } from "../errors.js";
 import type { CallerLimits, DecodedRequest } from "../model.js";
+import { freeBody } from "../request/body-memory.js";
 import type { MemoryBudget } from "../request/memory-budget.js";
 import type { HeaderCodec } from "../request/ports.js";
 import type { ReceivedRequest } from "../request/request-handler.js";
@@ -264,7 +265,12 @@
         const { outgoing, owner, disconnected } = exchange;
         const { budget, isLeaving } = this.#options;
         const { connections } = this.#server;
-        onEnd(exchange, budget.hold(response.body.length, owner));
+        const release = budget.hold(response.body.length, owner);
+        onEnd(exchange, () => {
+            // Uncollected, the responses of a crowd took a process far over its budget.
+            freeBody(response.body);
+            release();
+        });
         // The requests behind it that run are answered, and only the last response closes the connection.
         const { isLast: isLastRunning } = await connections.waitForTurn(exchange);
         if (disconnected.signal.aborted) {
--- a/packages/gateway/src/lib/request/body-memory.ts
+++ b/packages/gateway/src/lib/request/body-memory.ts
@@ -9,6 +9,7 @@
 
 /** `ArrayBuffer` with a size that can change, as in ECMAScript 2024; Node.js 20 has it, the types of ES2023 do not. */
 interface ResizableArrayBuffer extends ArrayBuffer {
+    readonly resizable: boolean;
     resize(sizeBytes: number): void;
 }
 const ResizableBuffer = ArrayBuffer as unknown as new(
@@ -82,3 +83,16 @@
         this.#block.set(former);
     }
 }
+
+/**
+ * Frees a body that {@link BodyMemory.take} returned, if it has pages of its own. Nothing may use it any more.
+ *
+ * @example
+ * response.on("finish", () => freeBody(body));
+ */
+export const freeBody = ({ buffer }: Uint8Array): void => {
+    const pages = buffer as ResizableArrayBuffer;
+    if (pages.resizable) {
+        pages.resize(0);
+    }
+};
