Close the connection with most requests when all are busy

What callers saw: with as many busy connections as an instance takes, new ones were reset for as long as the crowd went on. The bounds of the other ports take descriptors from callers, so that the test's 256 descriptors allow 63 connections instead of 84, and its crowd has 72.

Cause: only connections that sent nothing or were idle made room.

Change: if there is none of them, the connection with most requests in the last second makes room, if they are over 16; ordinary callers on the same instance are far below.

--- a/packages/gateway/src/lib/http/caller-connection.ts
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -52,6 +52,7 @@
     #isPumping = false;
     #isQueued = false;
     #usedInIntervalBytes = 0;
+    #chargedBytes = 0;
     #usedSinceMs: number;
     #isReadWanted = true;
     #hasSocketEnded = false;
@@ -127,7 +128,13 @@
 
     /** Charges work that a request takes besides the parsing of its bytes. */
     charge(workBytes: number): void {
-        this.#usedInIntervalBytes += workBytes;
+        this.#usedInIntervalBytes = this.#usedBytes() + workBytes;
+        this.#chargedBytes += workBytes;
+    }
+
+    /** Work that was charged in the current interval. */
+    get chargedBytes(): number {
+        return this.#chargedBytes;
     }
 
     /** Runs a task in this turn of the event loop or a later one, behind those of connections that have used less. */
@@ -264,6 +271,7 @@
         if (nowMs - this.#usedSinceMs >= usedIntervalMs) {
             this.#usedSinceMs = nowMs;
             this.#usedInIntervalBytes = 0;
+            this.#chargedBytes = 0;
         }
         return this.#usedInIntervalBytes;
     }
--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -24,6 +24,8 @@
 const connectionNativeBytes = 24_576;
 /** Bytes that take as long to parse as a request takes to be handled. */
 const requestWorkBytes = 4_096;
+/** Work in a second from which a connection may be closed to make room, although requests are in progress on it. */
+const busyBytes = 16 * requestWorkBytes;
 const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n";
 
 /** Bounds on the connections of one server. */
@@ -271,10 +273,14 @@
         }
     }
 
-    /** The oldest connection that sent no request yet, or else the one that has been idle longest. */
+    /**
+     * The oldest connection that sent no request yet, or else the one that has been idle longest, or else the one with
+     * the most requests lately, if they are many.
+     */
     #connectionToEvict(): CallerSession<E> | undefined {
         const idleBeforeMs = this.#options.clock.monotonicMs() - idleBeforeEvictionMs;
         let longestIdle: CallerSession<E> | undefined;
+        let busiest: CallerSession<E> | undefined;
         for (const session of this.#sessions.values()) {
             if (!session.hasRequested) {
                 return session;
@@ -283,7 +289,10 @@
             if (session.sequence.isIdle && session.idleSinceMs <= idleBeforeMs && isLonger) {
                 longestIdle = session;
             }
+            if (session.connection.chargedBytes > (busiest?.connection.chargedBytes ?? busyBytes)) {
+                busiest = session;
+            }
         }
-        return longestIdle;
+        return longestIdle ?? busiest;
     }
 }
