Take fewer descriptors from callers for the other ports

They now take half as many, and the process itself 48, as connections of other instances are counted apart: 77 connections of callers at 256 descriptors, as before 1,300 at 250 MB and 4,100.

--- a/packages/gateway/src/lib/http/caller-bounds.ts
+++ b/packages/gateway/src/lib/http/caller-bounds.ts
@@ -14,16 +14,16 @@
 const minHeapMb = 16;
 const connectionsPerMb = 10;
 /** Descriptors for the store, files and the event loop. */
-const ownDescriptors = 64;
+const ownDescriptors = 48;
 const minConnections = 8;
 /** Share of the descriptors for pipelined requests that run before their turn. */
 const earlyShare = 0.125;
 /** Connections of the other ports, as a share of the descriptors with a least and a largest number. */
 const portConnections = {
-    directory: { share: 1 / 16, min: 16, max: 256 },
-    peers: { share: 1 / 8, min: 16, max: 512 },
-    ready: { share: 1 / 32, min: 8, max: 16 },
-    metrics: { share: 1 / 32, min: 8, max: 16 },
+    directory: { share: 1 / 32, min: 8, max: 256 },
+    peers: { share: 1 / 16, min: 8, max: 512 },
+    ready: { share: 1 / 64, min: 4, max: 16 },
+    metrics: { share: 1 / 64, min: 4, max: 16 },
 };
 
 /** A port other than that of callers. */
