Answer requests in progress before rejecting bytes behind them

Callers saw: two safe requests on a connection, and 200 ms later, while both ran at upstreams, bytes that are no request. The connection got one 400 in the place of the first answer and closed: 8 of 8 requests ran and had no answer, and the caller took the 400 for the first request's. The same with a chunk without a size, with bytes in the same piece behind an unsafe request, and with bytes behind a request that closes the connection.

Cause: without a "clientError" listener, Node.js writes a 400 to the connection as soon as its parser fails and destroys it, whatever runs on it. The bounded connection passed on no more than was allowed, but an error of the parser went past the sequence of its requests.

Change: a parser error ends the reading of the connection, not the connection. The rejection is kept with it and is written when the last request that was read has been answered; a body that the parser refuses is rejected in its turn. All rejections of a connection are built in one place, also those of the other ports. An end of the caller's direction while requests are in progress still closes the connection, now also with a part of a header before it, which got a 400 as well: it cannot be told from a caller that has left.

--- a/packages/gateway/src/lib/http/auxiliary-server.ts
+++ b/packages/gateway/src/lib/http/auxiliary-server.ts
@@ -6,16 +6,13 @@
 import { BoundedServer } from "./bounded-server.js";
 import type { ConnectionBounds } from "./caller-connections.js";
 import type { CallerRejections } from "./caller-rejections.js";
+import { rejectionResponse } from "./connection-rejections.js";
 import { hasBody } from "./request-body.js";
 import type { Exchange } from "./request-sequence.js";
 import type { TurnBudget } from "./turn-budget.js";
 
 /** Limits of these requests, which have a short header and no body. */
 const limits = { maxHeaderBytes: 8_192, maxBodyBytes: 0, headerTimeoutMs: 5_000, idleTimeoutMs: 5_000 };
-const rejections = {
-    "too-long": "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-    "no-memory": "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-};
 
 /** A path and its handler. */
 export interface AuxiliaryRoute {
@@ -79,7 +76,7 @@
         limits: () => limits,
         isLeaving: () => false,
         reject: reason => options.rejections.record(reason),
-        rejectionOf: excess => rejections[excess],
+        rejectionOf: rejection => rejectionResponse(rejection),
         receive: (incoming, outgoing, connection) => {
             if (hasBody(incoming) && incoming.headers["content-length"] !== "0") {
                 outgoing.shouldKeepAlive = false;
--- a/packages/gateway/src/lib/http/bounded-server.ts
+++ b/packages/gateway/src/lib/http/bounded-server.ts
@@ -56,6 +56,14 @@
             ...options,
             attach: connection => attach!.call(this.#server, connection),
         });
+        // Without a listener, Node.js writes a rejection in the place of the responses that are due.
+        this.#server.on("clientError", (error: NodeJS.ErrnoException, connection) => {
+            const isTooLong = error.code === "HPE_HEADER_OVERFLOW";
+            this.connections.rejectRest(
+                connection as unknown as CallerConnection,
+                isTooLong ? "too-long" : "malformed",
+            );
+        });
         this.#server.removeAllListeners("connection");
         this.#server.on("connection", (socket: Socket) => this.connections.add(socket));
         this.applyLimits();
--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -6,12 +6,12 @@
 import type { MemoryBudget } from "../request/memory-budget.js";
 import { CallerConnection } from "./caller-connection.js";
 import type { CallerRejection } from "./caller-rejections.js";
+import type { ConnectionRejection } from "./connection-rejections.js";
 import { pieceBytes } from "./request-body.js";
 import { RequestSequence } from "./request-sequence.js";
 import type { Exchange } from "./request-sequence.js";
 import type { TurnBudget } from "./turn-budget.js";
 import { UnfinishedMeter } from "./unfinished-meter.js";
-import type { UnfinishedExcess } from "./unfinished-meter.js";
 
 /** Time for which a connection without a request in progress must have been idle to make room for a new one. */
 const idleBeforeEvictionMs = 1_000;
@@ -43,6 +43,8 @@
     readonly sequence: RequestSequence<E>;
     /** Counts the header or the trailers that are being read. */
     readonly meter: UnfinishedMeter;
+    /** Why nothing behind the requests that were read is parsed; the rejection follows their responses. */
+    rejection: ConnectionRejection | undefined;
     /** Whether a request was read from it. */
     hasRequested: boolean;
     /** Monotonic time since when no request is in progress. */
@@ -58,8 +60,8 @@
     readonly limits: () => CallerLimits;
     /** Whether requests that have not begun are left to another instance. */
     readonly isLeaving: () => boolean;
-    /** Response to a connection whose header is too long, or for which there is no memory. */
-    readonly rejectionOf: (excess: UnfinishedExcess) => string;
+    /** Response to bytes of which no request is read. */
+    readonly rejectionOf: (rejection: ConnectionRejection) => string;
     readonly reject: (reason: CallerRejection) => void;
     /** Passes a connection to the HTTP server. */
     readonly attach: (connection: CallerConnection) => void;
@@ -114,7 +116,7 @@
         const connection = new CallerConnection(socket, {
             clock,
             turns,
-            allowedBytes: () => sequence.allowedBytes,
+            allowedBytes: () => session.rejection === undefined ? sequence.allowedBytes : 0,
             admit: sizeBytes => this.#admit(session, sizeBytes),
             hasUnreadBody: () => sequence.hasUnreadBody,
             countPending: changeBytes => budget.countPending(changeBytes),
@@ -132,6 +134,7 @@
             connection,
             sequence,
             meter,
+            rejection: undefined,
             hasRequested: false,
             idleSinceMs: clock.monotonicMs(),
         };
@@ -168,6 +171,30 @@
         session.sequence.add(exchange);
     }
 
+    /**
+     * Rejects the bytes that follow the requests which were read. These are answered first: a rejection in their place
+     * would be taken for their answer, although they run.
+     */
+    rejectRest(connection: CallerConnection, rejection: ConnectionRejection): void {
+        const session = this.#sessions.get(connection);
+        if (session === undefined || connection.destroyed || connection.isClosing) {
+            return;
+        }
+        const { sequence } = session;
+        if (connection.readableEnded && !sequence.isIdle) {
+            // A caller that ends its direction cannot be told from one that has left.
+            connection.destroy();
+            return;
+        }
+        this.#options.reject(rejection === "too-long" ? "header" : "malformed");
+        if (sequence.arrivingBody !== undefined) {
+            sequence.arrivingBody.rejectMalformed();
+            return;
+        }
+        session.rejection ??= rejection;
+        this.#rejectIfIdle(session);
+    }
+
     /** A header, or a piece of the body that a connection brings, was read. */
     recordProgress(connection: CallerConnection): void {
         this.#sessions.get(connection)?.meter.reset();
@@ -233,6 +260,12 @@
         return false;
     }
 
+    #rejectIfIdle({ connection, sequence, rejection }: CallerSession<E>): void {
+        if (rejection !== undefined && sequence.isIdle) {
+            connection.rejectWith(this.#options.rejectionOf(rejection));
+        }
+    }
+
     #finish(session: CallerSession<E>): void {
         const { connection, sequence } = session;
         session.idleSinceMs = this.#options.clock.monotonicMs();
@@ -243,6 +276,7 @@
         sequence.finish();
         if (sequence.isIdle) {
             connection.expectHeader();
+            this.#rejectIfIdle(session);
         }
         if (sequence.hasWaiting) {
             // Requests that are answered at once would otherwise follow each other within one turn of the event loop.
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -12,12 +12,12 @@
 import type { CallerConnection } from "./caller-connection.js";
 import type { ConnectionBounds } from "./caller-connections.js";
 import type { CallerRejections } from "./caller-rejections.js";
+import { rejectionResponse } from "./connection-rejections.js";
 import { compactRequest, requestHeapBytes, runningRequestBytes } from "./header-memory.js";
 import { hasBody, RequestBody } from "./request-body.js";
 import type { BodyResult } from "./request-body.js";
 import type { Exchange } from "./request-sequence.js";
 import type { TurnBudget } from "./turn-budget.js";
-import type { UnfinishedExcess } from "./unfinished-meter.js";
 
 /** Limits until a configuration is loaded; the values are common among HTTP proxies. */
 export const defaultCallerLimits: CallerLimits = {
@@ -85,7 +85,10 @@
         this.#server = new BoundedServer({
             ...options,
             reject: reason => rejections.record(reason),
-            rejectionOf: excess => this.#rejectionOf(excess),
+            rejectionOf: rejection => {
+                const retryAfterMs = rejection === "no-memory" ? headerRetryAfterMs : undefined;
+                return rejectionResponse(rejection, options.codec.refusalHeaders(undefined, retryAfterMs));
+            },
             receive: (incoming, outgoing, connection) => {
                 try {
                     this.#receive(incoming, outgoing, connection);
@@ -169,17 +172,6 @@
         this.#server.connections.receive(exchange);
     }
 
-    /** Response to a connection whose header is not read to its end; nothing of the request has run. */
-    #rejectionOf(excess: UnfinishedExcess): string {
-        const isTooLong = excess === "too-long";
-        const headers = this.#options.codec.refusalHeaders(undefined, isTooLong ? undefined : headerRetryAfterMs);
-        const lines = [...headers, ["content-length", "0"], ["connection", "close"]].map(([name, value]) =>
-            `${name}: ${value}\r\n`
-        );
-        const status = isTooLong ? "431 Request Header Fields Too Large" : "503 Service Unavailable";
-        return `HTTP/1.1 ${status}\r\n${lines.join("")}\r\n`;
-    }
-
     /** Status with which a request is rejected because of its header. */
     #rejectedStatus({ rawHeaders, headers: { host } }: IncomingMessage, headers: HeaderList): number | undefined {
         if (!hasValidHeaders(rawHeaders) || host === undefined) {
@@ -246,6 +238,10 @@
             await this.#reject(exchange, 431);
             return;
         }
+        if (result.kind === "malformed") {
+            await this.#reject(exchange, 400);
+            return;
+        }
         const isOverload = exchange.isOverload || result.kind === "rejected";
         if (isOverload) {
             this.#options.rejections.record("memory");
--- /dev/null
+++ b/packages/gateway/src/lib/http/connection-ends.test.ts
@@ -0,0 +1,98 @@
+/** What ends a caller's connection while requests on it run at upstreams. */
+import { createConnection } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { echo, withServer } from "./caller-server.fixture.js";
+
+const workMs = 60;
+const delay = (timeMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, timeMs));
+const safe = (name: string, more = ""): string => `GET /safe/${name} HTTP/1.1\r\nHost: a\r\n${more}\r\n`;
+const closing = "Connection: close\r\n";
+
+/** Responses of a connection in order: the content of an answered request, or the status of another response. */
+const responsesIn = (received: string): readonly string[] =>
+    received.split(/(?=HTTP\/1\.1 \d{3} )/).filter(text => text !== "").map(text =>
+        /(?:GET|POST) (\S+) \S+$/.exec(text)?.[1] ?? text.slice(9, 12)
+    );
+
+interface Play {
+    readonly responses: readonly string[];
+    /** Requests that were passed on. */
+    readonly ran: readonly string[];
+}
+
+/** Sends pieces one after the other, each 15 ms after the one before, until the connection ends. */
+const play = async (pieces: readonly string[]): Promise<Play> => {
+    const ran: string[] = [];
+    let received = "";
+    await withServer(async request => {
+        const { target } = request.request;
+        ran.push(target);
+        await delay(workMs);
+        return echo(request);
+    }, async ({ port }) => {
+        const socket = createConnection({ host: "127.0.0.1", port, noDelay: true });
+        socket.on("data", data => received += String(data));
+        socket.on("error", () => {});
+        const closed = new Promise(resolve => socket.on("close", resolve));
+        for (const piece of pieces) {
+            socket.write(piece);
+            await delay(15);
+        }
+        await closed;
+    });
+    return { responses: responsesIn(received), ran };
+};
+
+const both = ["/safe/1", "/safe/2"];
+const notHttp = "these bytes are no request\r\n\r\n";
+const chunkedHead = "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against a rejection in the place of an answer, which the caller takes for that of a request that has run.
+for (
+    const [name, pieces, responses] of [
+        ["bytes that are no request", [safe("1") + safe("2"), notHttp], [...both, "400"]],
+        ["bytes that are no request, in the same piece", [safe("1") + safe("2") + notHttp], [...both, "400"]],
+        ["bytes behind an unsafe request", [`GET /once HTTP/1.1\r\nHost: a\r\n\r\n${notHttp}`], ["/once", "400"]],
+        ["a chunk without a size", [safe("1") + safe("2") + chunkedHead, "zz\r\n"], [...both, "400"]],
+        ["bytes behind a request that closes", [safe("1") + safe("2", closing), safe("3")], both],
+    ] as const
+) {
+    test(`requests in progress are answered before ${name}`, async () => {
+        const result = await play(pieces);
+        assert.equal(result.responses, responses);
+        assert.equal(result.ran, responses.filter(response => response.startsWith("/")));
+    });
+}
+
+// Guards against a caller that has left although servers work for it: its end cannot be told from a close.
+test("the end of a caller's direction cancels its requests, whatever it sent behind them", async () => {
+    for (const rest of ["", "GET /x HTT", notHttp]) {
+        let cancelled = 0;
+        await withServer(({ signal }) =>
+            new Promise(resolve =>
+                signal.addEventListener("abort", () => {
+                    cancelled++;
+                    resolve(undefined);
+                })
+            ), async ({ port, server }) => {
+            const socket = createConnection({ host: "127.0.0.1", port });
+            let received = "";
+            socket.on("data", data => received += String(data));
+            socket.on("error", () => {});
+            socket.write(safe("1") + safe("2"));
+            while (server.activeRequestCount < 2) {
+                await delay(1);
+            }
+            socket.end(rest);
+            await new Promise(resolve => socket.on("close", resolve));
+            assert.is(received, "");
+            while (server.activeRequestCount > 0) {
+                await delay(1);
+            }
+        });
+        assert.is(cancelled, 2);
+    }
+});
+
+test.run();
--- /dev/null
+++ b/packages/gateway/src/lib/http/connection-rejections.ts
@@ -0,0 +1,27 @@
+/** Responses to bytes of a connection of which no request is read. */
+import type { UnfinishedExcess } from "./unfinished-meter.js";
+
+/** Why a connection ends without a further request; `malformed`: the bytes do not keep to the protocol. */
+export type ConnectionRejection = UnfinishedExcess | "malformed";
+
+const statusLines: Readonly<Record<ConnectionRejection, string>> = {
+    "too-long": "431 Request Header Fields Too Large",
+    "no-memory": "503 Service Unavailable",
+    malformed: "400 Bad Request",
+};
+
+/**
+ * Returns the response with which a connection is closed.
+ *
+ * @example
+ * rejectionResponse("no-memory", [["retry-after", "0.5"]]);
+ */
+export const rejectionResponse = (
+    rejection: ConnectionRejection,
+    headers: readonly (readonly [string, string])[] = [],
+): string => {
+    const lines = [...headers, ["content-length", "0"], ["connection", "close"]].map(([name, value]) =>
+        `${name}: ${value}\r\n`
+    );
+    return `HTTP/1.1 ${statusLines[rejection]}\r\n${lines.join("")}\r\n`;
+};
--- a/packages/gateway/src/lib/http/request-body.ts
+++ b/packages/gateway/src/lib/http/request-body.ts
@@ -17,12 +17,12 @@
     headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 
 /**
- * How the reading of a body ended; `overhead`: its trailers or a chunk extension are too long; `gone`: its connection
- * ended before.
+ * How the reading of a body ended; `overhead`: its trailers or a chunk extension are too long; `malformed`: it does not
+ * keep to the protocol; `gone`: its connection ended before.
  */
 export type BodyResult =
     | { readonly kind: "whole"; readonly body: Uint8Array; }
-    | { readonly kind: "too-large" | "overhead" | "gone"; }
+    | { readonly kind: "too-large" | "overhead" | "malformed" | "gone"; }
     | { readonly kind: "rejected"; readonly reason: BodyRejection; };
 
 /** Options of {@link RequestBody}. */
@@ -100,6 +100,11 @@
         this.#end(excess === "too-long" ? { kind: "overhead" } : { kind: "rejected", reason: "memory" });
     }
 
+    /** Gives up a body whose bytes the parser refuses. */
+    rejectMalformed(): void {
+        this.#end({ kind: "malformed" });
+    }
+
     /** Gives the memory back, once the body is no longer needed. */
     close(): void {
         this.#end({ kind: "gone" });
