Answer requests in progress before rejecting a CONNECT

Callers saw: two safe requests on a connection and a CONNECT behind them: the connection closed at once; 8 of 8 requests ran at upstreams and had no answer.

Cause: Node.js destroys a connection that sends CONNECT if the server has no listener for it.

Change: the server listens, rejects the CONNECT with a 501 as it rejects other bytes of which no request is read, and closes.

Evidence: the two new tests before the change: 0 passed, 2 failed. Result: 2 passed; the tests of gateway's http folder: 37 passed, 0 failed.

--- a/packages/gateway/src/lib/http/bounded-server.ts
+++ b/packages/gateway/src/lib/http/bounded-server.ts
@@ -64,6 +64,11 @@
                 isTooLong ? "too-long" : "malformed",
             );
         });
+        // Without a listener, Node.js destroys the connection.
+        this.#server.on(
+            "connect",
+            (_incoming, connection) => this.#rejectTunnel(connection as unknown as CallerConnection),
+        );
         this.#server.removeAllListeners("connection");
         this.#server.on("connection", (socket: Socket) => this.connections.add(socket));
         this.applyLimits();
@@ -109,6 +114,14 @@
         this.#reviewTimer?.cancel();
     }
 
+    /** Rejects a `CONNECT`, at which Node.js has taken its listeners from the connection. */
+    #rejectTunnel(connection: CallerConnection): void {
+        connection.on("error", () => {});
+        connection.on("end", () => connection.destroy());
+        this.connections.rejectRest(connection, "tunnel");
+        connection.resume();
+    }
+
     #review(): void {
         this.connections.review();
         this.#options.onReview?.();
--- a/packages/gateway/src/lib/http/connection-ends.test.ts
+++ b/packages/gateway/src/lib/http/connection-ends.test.ts
@@ -46,6 +46,7 @@
 
 const both = ["/safe/1", "/safe/2"];
 const notHttp = "these bytes are no request\r\n\r\n";
+const connect = "CONNECT a:443 HTTP/1.1\r\nHost: a:443\r\n\r\n";
 const chunkedHead = "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 // Guards against a rejection in the place of an answer, which the caller takes for that of a request that has run.
@@ -55,6 +56,8 @@
         ["bytes that are no request, in the same piece", [safe("1") + safe("2") + notHttp], [...both, "400"]],
         ["bytes behind an unsafe request", [`GET /once HTTP/1.1\r\nHost: a\r\n\r\n${notHttp}`], ["/once", "400"]],
         ["a chunk without a size", [safe("1") + safe("2") + chunkedHead, "zz\r\n"], [...both, "400"]],
+        ["CONNECT", [safe("1") + safe("2"), connect], [...both, "501"]],
+        ["CONNECT, in the same piece", [safe("1") + safe("2") + connect + safe("3")], [...both, "501"]],
         ["bytes behind a request that closes", [safe("1") + safe("2", closing), safe("3")], both],
     ] as const
 ) {
--- a/packages/gateway/src/lib/http/connection-rejections.ts
+++ b/packages/gateway/src/lib/http/connection-rejections.ts
@@ -1,13 +1,17 @@
 /** Responses to bytes of a connection of which no request is read. */
 import type { UnfinishedExcess } from "./unfinished-meter.js";
 
-/** Why a connection ends without a further request; `malformed`: the bytes do not keep to the protocol. */
-export type ConnectionRejection = UnfinishedExcess | "malformed";
+/**
+ * Why a connection ends without a further request; `malformed`: the bytes do not keep to the protocol; `tunnel`: a
+ * `CONNECT`, which is not supported.
+ */
+export type ConnectionRejection = UnfinishedExcess | "malformed" | "tunnel";
 
 const statusLines: Readonly<Record<ConnectionRejection, string>> = {
     "too-long": "431 Request Header Fields Too Large",
     "no-memory": "503 Service Unavailable",
     malformed: "400 Bad Request",
+    tunnel: "501 Not Implemented",
 };
 
 /**
