Reject a request without a host in the sequence of its connection

Callers saw: a request without a Host field between two safe ones in one piece: the one behind it ran at an upstream, and its answer was lost, as the rejection closed the connection.

Cause: Node.js answers such a request itself. The connection's sequence never knew of it, and ran what follows as if nothing stood between.

Change: the check of Node.js is off; the servers' own, which was there already, rejects it in its turn, and nothing behind it runs. The other ports reject it with a 400 as before.

--- a/packages/gateway/src/lib/http/auxiliary-server.test.ts
+++ b/packages/gateway/src/lib/http/auxiliary-server.test.ts
@@ -53,6 +53,13 @@
         assert.is(peak(), 1);
     }));
 
+// Guards against a request without a host that is answered like others.
+test("a request without a host is rejected in its turn", () =>
+    withServer(async port => {
+        const received = await exchange(port, `${get("")}GET /a HTTP/1.1\r\n\r\n${get(closing)}`);
+        assert.equal(received.match(/HTTP\/1\.1 \d+/g), ["HTTP/1.1 200", "HTTP/1.1 400", "HTTP/1.1 200"]);
+    }));
+
 // Guards against bodies that nobody wants, and that are read without end.
 test("a request with a body is answered and closes its connection", () =>
     withServer(async port => {
--- a/packages/gateway/src/lib/http/bounded-server.ts
+++ b/packages/gateway/src/lib/http/bounded-server.ts
@@ -48,6 +48,8 @@
             headersTimeout: 0,
             requestTimeout: 0,
             noDelay: true,
+            // Node.js would answer it outside the sequence of requests.
+            requireHostHeader: false,
         }, (incoming, outgoing) => options.receive(incoming, outgoing, this.connections.connectionOf(incoming)));
         // Node.js drops the fields beyond this number, and the request would be passed on without them.
         this.#server.maxHeadersCount = 0;
--- a/packages/gateway/src/lib/http/connection-ends.test.ts
+++ b/packages/gateway/src/lib/http/connection-ends.test.ts
@@ -58,6 +58,7 @@
         ["a chunk without a size", [safe("1") + safe("2") + chunkedHead, "zz\r\n"], [...both, "400"]],
         ["CONNECT", [safe("1") + safe("2"), connect], [...both, "501"]],
         ["CONNECT, in the same piece", [safe("1") + safe("2") + connect + safe("3")], [...both, "501"]],
+        ["a request without a host", [safe("1") + "GET /safe/2 HTTP/1.1\r\n\r\n" + safe("3")], ["/safe/1", "400"]],
         ["bytes behind a request that closes", [safe("1") + safe("2", closing), safe("3")], both],
     ] as const
 ) {
