Close behind a request with an Upgrade where bytes after it were lost

Callers saw: three requests in one piece, the second with "Connection: upgrade", and a fourth later: three answers, of which the last, the fourth request's, passes for the third's. The third was never read.

Cause: the parser of Node.js ends a piece at a request with an Upgrade and drops the rest of it; the server, which does not upgrade, goes on with the next piece.

Change: the response of such a request closes the connection unless its header is known to end the piece, so that nothing that follows takes a wrong place and callers send it again. Clients that only offer an upgrade and wait for the response keep their connection. The other ports close in the same way.

--- a/packages/gateway/src/lib/http/auxiliary-server.ts
+++ b/packages/gateway/src/lib/http/auxiliary-server.ts
@@ -7,7 +7,7 @@
 import type { ConnectionBounds } from "./caller-connections.js";
 import type { CallerRejections } from "./caller-rejections.js";
 import { rejectionResponse } from "./connection-rejections.js";
-import { hasBody } from "./request-body.js";
+import { hasBody, losesRest } from "./request-body.js";
 import type { Exchange } from "./request-sequence.js";
 import type { TurnBudget } from "./turn-budget.js";
 
@@ -78,7 +78,8 @@
         reject: reason => options.rejections.record(reason),
         rejectionOf: rejection => rejectionResponse(rejection),
         receive: (incoming, outgoing, connection) => {
-            if (hasBody(incoming) && incoming.headers["content-length"] !== "0") {
+            const isBodyUnread = hasBody(incoming) && incoming.headers["content-length"] !== "0";
+            if (isBodyUnread || losesRest(incoming, connection)) {
                 outgoing.shouldKeepAlive = false;
             }
             const disconnected = new AbortController();
--- a/packages/gateway/src/lib/http/caller-connection.ts
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -16,6 +16,8 @@
 const maxDiscardedBytes = 1_048_576;
 const discardMs = 1_000;
 
+const headerEnd = "\r\n\r\n";
+
 /** Options of {@link CallerConnection}. */
 export interface CallerConnectionOptions {
     readonly clock: Pick<Clock, "monotonicMs" | "after">;
@@ -55,6 +57,7 @@
     #chargedBytes = 0;
     #usedSinceMs: number;
     #isReadWanted = true;
+    #isAtHeaderEnd = false;
     #hasSocketEnded = false;
     #isDiscarding = false;
     #discardedBytes = 0;
@@ -85,6 +88,11 @@
         return this.#isDiscarding;
     }
 
+    /** Whether nothing follows the header that the parser has just read; false if that is not certain. */
+    get isAtHeaderEnd(): boolean {
+        return this.#isAtHeaderEnd;
+    }
+
     /** Time for which the caller has taken nothing of a response; 0 if no response waits. */
     unreadMs(nowMs: number): number {
         return this.#unwrittenParts === 0 ? 0 : nowMs - this.#writeProgressMs;
@@ -120,7 +128,9 @@
             }
             passedBytes += sizeBytes;
             this.#usedInIntervalBytes += sizeBytes;
-            this.#isReadWanted = this.push(this.#take(sizeBytes));
+            const piece = this.#take(sizeBytes);
+            this.#isAtHeaderEnd = piece.indexOf(headerEnd) === piece.length - headerEnd.length;
+            this.#isReadWanted = this.push(piece);
         }
         this.#isPumping = false;
         this.#controlSocket();
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -14,7 +14,7 @@
 import type { CallerRejections } from "./caller-rejections.js";
 import { rejectionResponse } from "./connection-rejections.js";
 import { compactRequest, requestHeapBytes, runningRequestBytes } from "./header-memory.js";
-import { hasBody, RequestBody } from "./request-body.js";
+import { hasBody, losesRest, RequestBody } from "./request-body.js";
 import type { BodyResult } from "./request-body.js";
 import type { Exchange } from "./request-sequence.js";
 import type { TurnBudget } from "./turn-budget.js";
@@ -62,6 +62,8 @@
     readonly rejectedStatus: number | undefined;
     /** Whether there was no memory for a further request when its header was read. */
     readonly isOverload: boolean;
+    /** Whether its response closes the connection. */
+    readonly mustClose: boolean;
     readonly receivedMs: number;
     /** Counts the memory that it takes while it runs. */
     readonly onRun: () => void;
@@ -149,7 +151,8 @@
         const isRejected = rejectedStatus !== undefined || isOverload;
         const request = compactRequest(isRejected ? { ...decoded, headers: [] } : decoded);
         const isBodyWanted = rejectedStatus === undefined && !(isOverload && hasBody(incoming));
-        const isRepeatable = !isRejected && !hasBody(incoming) && this.#options.isRepeatable(request);
+        const mustClose = losesRest(incoming, connection);
+        const isRepeatable = !isRejected && !mustClose && !hasBody(incoming) && this.#options.isRepeatable(request);
         const disconnected = new AbortController();
         const common = {
             connection,
@@ -159,6 +162,7 @@
             owner,
             rejectedStatus,
             isOverload,
+            mustClose,
             isRepeatable,
             receivedMs,
             disconnected,
@@ -276,7 +280,7 @@
         const hasBody = !bodilessStatuses.has(response.status);
         // A length lets the caller detect an early end, whatever ends the connection.
         const lengthHeader: [string, string][] = hasBody ? [["content-length", String(response.body.length)]] : [];
-        const isLast = mustClose || isLeaving() && isLastRunning;
+        const isLast = mustClose || exchange.mustClose || isLeaving() && isLastRunning;
         const closeHeader: [string, string][] = isLast ? [["connection", "close"]] : [];
         outgoing.writeHead(response.status, [...headers, ...lengthHeader, ...closeHeader].flat());
         outgoing.end(hasBody ? response.body : undefined);
--- a/packages/gateway/src/lib/http/connection-ends.test.ts
+++ b/packages/gateway/src/lib/http/connection-ends.test.ts
@@ -47,6 +47,7 @@
 const both = ["/safe/1", "/safe/2"];
 const notHttp = "these bytes are no request\r\n\r\n";
 const connect = "CONNECT a:443 HTTP/1.1\r\nHost: a:443\r\n\r\n";
+const upgrade = "Connection: upgrade\r\nUpgrade: websocket\r\n";
 const chunkedHead = "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 // Guards against a rejection in the place of an answer, which the caller takes for that of a request that has run.
@@ -59,6 +60,8 @@
         ["CONNECT", [safe("1") + safe("2"), connect], [...both, "501"]],
         ["CONNECT, in the same piece", [safe("1") + safe("2") + connect + safe("3")], [...both, "501"]],
         ["a request without a host", [safe("1") + "GET /safe/2 HTTP/1.1\r\n\r\n" + safe("3")], ["/safe/1", "400"]],
+        ["an upgrade", [safe("1") + safe("u", upgrade) + safe("2"), safe("3")], ["/safe/1", "/safe/u"]],
+        ["what follows an upgrade later", [safe("u", upgrade), safe("2", closing)], ["/safe/u", "/safe/2"]],
         ["bytes behind a request that closes", [safe("1") + safe("2", closing), safe("3")], both],
     ] as const
 ) {
--- a/packages/gateway/src/lib/http/request-body.ts
+++ b/packages/gateway/src/lib/http/request-body.ts
@@ -3,6 +3,7 @@
 import { BodyMemory } from "../request/body-memory.js";
 import { smallBodyBytes } from "../request/memory-budget.js";
 import type { BodyRejection, BodyReservation, MemoryBudget } from "../request/memory-budget.js";
+import type { CallerConnection } from "./caller-connection.js";
 import type { UnfinishedExcess } from "./unfinished-meter.js";
 
 /** Bytes that the parser gets at once if it is not known what they are; they hold few requests or chunks. */
@@ -16,6 +17,13 @@
 export const hasBody = ({ headers }: IncomingMessage): boolean =>
     headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 
+/**
+ * Whether bytes behind a request may be lost: the parser drops what follows a request with an `Upgrade` in the same piece,
+ * and the response of a later request would be taken for that of a dropped one.
+ */
+export const losesRest = (incoming: IncomingMessage, connection: CallerConnection): boolean =>
+    incoming.headers.upgrade !== undefined && (hasBody(incoming) || !connection.isAtHeaderEnd);
+
 /**
  * How the reading of a body ended; `overhead`: its trailers or a chunk extension are too long; `malformed`: it does not
  * keep to the protocol; `gone`: its connection ended before.
