Keep an unexpected error to the request that it belongs to

Callers saw: of three safe requests on a connection, the second fails with an unexpected error, or has a response that Node.js does not write (a line break in a field, a status out of range): the connection was destroyed, and the third ran and had no answer. The same, with those before it, when a request cannot be decoded.

Cause: the server destroyed the response, and with it its connection.

Change: such a request gets a 502 in its turn, and the connection goes on if the request was read to its end. One that cannot be taken ends the reading of the connection, as bytes that are no request do, and a 500 follows the answers.

--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -6,6 +6,7 @@
 import type { MemoryBudget } from "../request/memory-budget.js";
 import { CallerConnection } from "./caller-connection.js";
 import type { CallerRejection } from "./caller-rejections.js";
+import { callerRejectionOf } from "./connection-rejections.js";
 import type { ConnectionRejection } from "./connection-rejections.js";
 import { pieceBytes } from "./request-body.js";
 import { RequestSequence } from "./request-sequence.js";
@@ -158,7 +159,7 @@
     receive(exchange: E): void {
         const { connection, outgoing } = exchange;
         const session = this.#sessions.get(connection);
-        if (session === undefined) {
+        if (session?.rejection !== undefined || session === undefined) {
             exchange.body?.close();
             exchange.disconnected.abort();
             return;
@@ -186,7 +187,7 @@
             connection.destroy();
             return;
         }
-        this.#options.reject(rejection === "too-long" ? "header" : "malformed");
+        this.#record(rejection);
         if (sequence.arrivingBody !== undefined) {
             sequence.arrivingBody.rejectMalformed();
             return;
@@ -253,13 +254,20 @@
             arrivingBody.rejectOverhead(excess);
         }
         else if (sequence.isIdle) {
-            this.#options.reject(excess === "no-memory" ? "memory" : "header");
+            this.#record(excess);
             connection.rejectWith(this.#options.rejectionOf(excess));
         }
         // Otherwise it waits until the requests before it are answered.
         return false;
     }
 
+    #record(rejection: ConnectionRejection): void {
+        const reason = callerRejectionOf(rejection);
+        if (reason !== undefined) {
+            this.#options.reject(reason);
+        }
+    }
+
     #rejectIfIdle({ connection, sequence, rejection }: CallerSession<E>): void {
         if (rejection !== undefined && sequence.isIdle) {
             connection.rejectWith(this.#options.rejectionOf(rejection));
--- a/packages/gateway/src/lib/http/caller-server.fixture.ts
+++ b/packages/gateway/src/lib/http/caller-server.fixture.ts
@@ -41,15 +41,13 @@
         address: `127.0.0.1:${port}`,
         codec: {
             refusalHeaders: () => [],
-            decodeRequest: (method, target, headers): DecodedRequest => ({
-                requestId: undefined,
-                host: "",
-                method,
-                target,
-                headers,
-                key: undefined,
-                deadlineMs: undefined,
-            }),
+            decodeRequest: (method, target, headers): DecodedRequest => {
+                if (target.endsWith("undecodable")) {
+                    throw new Error("unexpected");
+                }
+                const none = undefined;
+                return { requestId: none, host: "", method, target, headers, key: none, deadlineMs: none };
+            },
         },
         limits: () => limits,
         bounds,
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -97,7 +97,7 @@
                 }
                 catch (error) {
                     log.event("request-failed", { reason: errorMessage(error) });
-                    outgoing.destroy();
+                    this.#server.connections.rejectRest(connection, "failed");
                 }
             },
             run: exchange => void this.#run(exchange),
@@ -221,8 +221,19 @@
         catch (error) {
             if (!disconnected.signal.aborted) {
                 this.#options.log.event("request-failed", { reason: errorMessage(error) });
+                await this.#fail(exchange);
             }
-            outgoing.destroy();
+        }
+    }
+
+    /** Answers a request that failed unexpectedly; the others of its connection go on. */
+    async #fail(exchange: CallerExchange): Promise<void> {
+        try {
+            await this.#write(exchange, emptyResponse(502), !exchange.incoming.complete);
+        }
+        catch {
+            // A part of the response was written already.
+            exchange.outgoing.destroy();
         }
     }
 
@@ -258,7 +269,7 @@
     }
 
     #reject(exchange: CallerExchange, status: number): Promise<void> {
-        return this.#write(exchange, { status, headers: [], body: new Uint8Array(0) }, true);
+        return this.#write(exchange, emptyResponse(status), true);
     }
 
     async #write(exchange: CallerExchange, response: HttpResponse, mustClose: boolean): Promise<void> {
@@ -315,6 +326,9 @@
     "trailer",
     "te",
 ]);
+
+const emptyResponse = (status: number): HttpResponse => ({ status, headers: [], body: new Uint8Array(0) });
+
 const headerList = (raw: readonly string[]): HeaderList => {
     const list: [string, string][] = [];
     for (let index = 0; index + 1 < raw.length; index += 2) {
--- a/packages/gateway/src/lib/http/connection-ends.test.ts
+++ b/packages/gateway/src/lib/http/connection-ends.test.ts
@@ -1,7 +1,9 @@
 /** What ends a caller's connection while requests on it run at upstreams. */
+import type { HttpResponse } from "@sniperoad/core";
 import { createConnection } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { ReceivedRequest } from "../request/request-handler.js";
 import { echo, withServer } from "./caller-server.fixture.js";
 
 const workMs = 60;
@@ -15,6 +17,8 @@
         /(?:GET|POST) (\S+) \S+$/.exec(text)?.[1] ?? text.slice(9, 12)
     );
 
+type Answer = (request: ReceivedRequest) => Promise<HttpResponse | undefined>;
+
 interface Play {
     readonly responses: readonly string[];
     /** Requests that were passed on. */
@@ -22,14 +26,14 @@
 }
 
 /** Sends pieces one after the other, each 15 ms after the one before, until the connection ends. */
-const play = async (pieces: readonly string[]): Promise<Play> => {
+const play = async (pieces: readonly string[], answer: Answer = echo): Promise<Play> => {
     const ran: string[] = [];
     let received = "";
     await withServer(async request => {
         const { target } = request.request;
         ran.push(target);
         await delay(workMs);
-        return echo(request);
+        return answer(request);
     }, async ({ port }) => {
         const socket = createConnection({ host: "127.0.0.1", port, noDelay: true });
         socket.on("data", data => received += String(data));
@@ -72,6 +76,28 @@
     });
 }
 
+// Guards against an unexpected error that takes the answers of the connection's other requests with it.
+test("a request that fails unexpectedly gets a 502 in its turn", async () => {
+    const failures: readonly Answer[] = [
+        () => Promise.reject(new Error("unexpected")),
+        async request => ({ ...await echo(request), headers: [["x-broken", "\n"]] }),
+        async request => ({ ...await echo(request), status: 42 }),
+    ];
+    for (const fail of failures) {
+        const result = await play(
+            [safe("1") + safe("2") + safe("3", closing)],
+            request => request.request.target === "/safe/2" ? fail(request) : echo(request),
+        );
+        assert.equal(result.responses, ["/safe/1", "502", "/safe/3"]);
+    }
+});
+
+// Guards against a request that cannot be taken, and ends those before it.
+test("requests in progress are answered before one that cannot be taken", async () => {
+    const result = await play([safe("1") + safe("2") + safe("undecodable") + safe("3"), safe("4")]);
+    assert.equal(result, { responses: [...both, "500"], ran: both });
+});
+
 // Guards against a caller that has left although servers work for it: its end cannot be told from a close.
 test("the end of a caller's direction cancels its requests, whatever it sent behind them", async () => {
     for (const rest of ["", "GET /x HTT", notHttp]) {
