Leave callers a time to take their last response

Callers saw: a response of 8 MB with "Connection: close", or the last one at a stop, whose caller goes on sending: cut by a reset after a part of it.

Cause: bytes behind the last request were dropped only up to 1 MB, while the response was being written as well, and otherwise the connection was closed as soon as the socket had taken the response. A close with bytes of the caller unread is a reset, at which the kernel drops what it has not sent.

Change: after the last response or rejection, also the one of a late header, the connection ends its direction, and drops what arrives until the caller ends its own, for a second at most. It reads no more than 1 MB before the response is written and after it, and leaves the rest in the socket. Such connections make room for new ones first, and a stop does not close them early.

--- a/packages/gateway/src/lib/http/caller-connection.ts
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -12,9 +12,12 @@
 const usedIntervalMs = 1_000;
 /** Size of the parts in which a response is written, so that it shows whether the caller takes it. */
 const partBytes = 65_536;
-/** Bytes and time for which a rejected body is read and dropped: closing at once would lose the response on the way. */
+/**
+ * Bytes and time for which what follows the last request is read and dropped: if some of it were unread, closing would
+ * reset the connection, and the response on the way would be lost.
+ */
 const maxDiscardedBytes = 1_048_576;
-const discardMs = 1_000;
+const lingerMs = 1_000;
 
 const headerEnd = "\r\n\r\n";
 
@@ -26,8 +29,6 @@
     readonly allowedBytes: () => number;
     /** Counts bytes before the parser gets them; false if it must not get them. */
     readonly admit: (sizeBytes: number) => boolean;
-    /** Whether a body is on its way that nobody reads. */
-    readonly hasUnreadBody: () => boolean;
     /** Counts bytes that wait here for the parser. */
     readonly countPending: (changeBytes: number) => void;
     /** Whether so many bytes wait on all connections that no more should be read while some do. */
@@ -64,7 +65,7 @@
     /** Parts of a response that the socket has not taken. */
     #unwrittenParts = 0;
     #writeProgressMs = 0;
-    #discardTimer: Timer | undefined;
+    #lingerTimer: Timer | undefined;
 
     constructor(socket: Socket, options: CallerConnectionOptions) {
         super({ allowHalfOpen: true, readableHighWaterMark: 1 });
@@ -75,6 +76,10 @@
         this.#usedSinceMs = this.openedMs;
         socket.on("data", chunk => this.#receive(chunk));
         socket.on("end", () => {
+            if (this.isLingering) {
+                this.destroy();
+                return;
+            }
             this.#hasSocketEnded = true;
             this.pump();
         });
@@ -88,6 +93,11 @@
         return this.#isDiscarding;
     }
 
+    /** Whether the socket has taken all responses, and the connection only waits for its caller to close it. */
+    get isLingering(): boolean {
+        return this.#lingerTimer !== undefined;
+    }
+
     /** Whether nothing follows the header that the parser has just read; false if that is not certain. */
     get isAtHeaderEnd(): boolean {
         return this.#isAtHeaderEnd;
@@ -163,7 +173,7 @@
         this.headerStartedMs = undefined;
         this.#isDiscarding = true;
         this.#dropPending();
-        this.end(response, () => this.#discard());
+        this.end(response, () => this.#linger());
     }
 
     /** Called by the HTTP server. */
@@ -176,15 +186,7 @@
     destroySoon(): void {
         this.#isDiscarding = true;
         this.#dropPending();
-        const hasUnreadBody = this.#options.hasUnreadBody();
-        this.end(() => {
-            if (hasUnreadBody) {
-                this.#discard();
-            }
-            else {
-                this.destroy();
-            }
-        });
+        this.end(() => this.#linger());
     }
 
     override _read(): void {
@@ -209,7 +211,7 @@
 
     override _destroy(error: Error | null, done: (error?: Error | null) => void): void {
         this.#dropPending();
-        this.#discardTimer?.cancel();
+        this.#lingerTimer?.cancel();
         this.#socket.destroy();
         done(error);
     }
@@ -218,7 +220,7 @@
         if (this.#isDiscarding) {
             this.#discardedBytes += chunk.length;
             if (this.#discardedBytes > maxDiscardedBytes) {
-                this.destroy();
+                this.#socket.pause();
             }
             return;
         }
@@ -228,13 +230,15 @@
         this.pump();
     }
 
-    /** Reads and drops what the caller still sends, for a time. */
-    #discard(): void {
-        if (this.destroyed) {
+    /** Leaves the caller a time to take its responses and to close the connection. */
+    #linger(): void {
+        if (this.destroyed || this.#socket.readableEnded) {
+            this.destroy();
             return;
         }
+        this.#discardedBytes = 0;
         this.#socket.resume();
-        this.#discardTimer = this.#options.clock.after(discardMs, () => this.destroy());
+        this.#lingerTimer = this.#options.clock.after(lingerMs, () => this.destroy());
     }
 
     #countPending(changeBytes: number): void {
@@ -297,6 +301,9 @@
             this.#hasSocketEnded = false;
             this.push(null);
         }
+        if (this.#isDiscarding) {
+            return;
+        }
         if (this.#pendingBytes >= (this.#options.isPendingHigh() ? 1 : maxPendingBytes)) {
             this.#socket.pause();
         }
--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -119,7 +119,6 @@
             turns,
             allowedBytes: () => session.rejection === undefined ? sequence.allowedBytes : 0,
             admit: sizeBytes => this.#admit(session, sizeBytes),
-            hasUnreadBody: () => sequence.hasUnreadBody,
             countPending: changeBytes => budget.countPending(changeBytes),
             isPendingHigh: () => budget.isPendingHigh,
         });
@@ -215,8 +214,7 @@
         for (const { connection, sequence } of this.#sessions.values()) {
             const isLate = nowMs - (connection.headerStartedMs ?? nowMs) >= headerTimeoutMs;
             if (sequence.isIdle && isLate) {
-                connection.headerStartedMs = undefined;
-                connection.end(requestTimeoutResponse, () => connection.destroy());
+                connection.rejectWith(requestTimeoutResponse);
             }
         }
         this.#resetUnread(this.isCrowded || this.#areResponsesScarce() ? unreadMs.scarce : unreadMs.ample);
@@ -232,7 +230,7 @@
     /** Closes all connections without a request, and without a part of one. */
     closeIdle(): void {
         this.#sessions.forEach(({ sequence, connection }) => {
-            if (sequence.isIdle && connection.headerStartedMs === undefined) {
+            if (sequence.isIdle && connection.headerStartedMs === undefined && !connection.isClosing) {
                 connection.destroy();
             }
         });
@@ -316,7 +314,7 @@
     }
 
     /**
-     * The oldest connection that sent no request yet, or else the one that has been idle longest, or else the one with
+     * The oldest connection that sent no request yet or has its last response, or else the one that has been idle longest, or else the one with
      * the most requests lately, if they are many.
      */
     #connectionToEvict(): CallerSession<E> | undefined {
@@ -324,7 +322,7 @@
         let longestIdle: CallerSession<E> | undefined;
         let busiest: CallerSession<E> | undefined;
         for (const session of this.#sessions.values()) {
-            if (!session.hasRequested) {
+            if (!session.hasRequested || session.connection.isLingering) {
                 return session;
             }
             const isLonger = session.idleSinceMs < (longestIdle?.idleSinceMs ?? Infinity);
--- a/packages/gateway/src/lib/http/connection-ends.test.ts
+++ b/packages/gateway/src/lib/http/connection-ends.test.ts
@@ -49,6 +49,7 @@
 };
 
 const both = ["/safe/1", "/safe/2"];
+const largeBytes = 8 * 1_048_576;
 const notHttp = "these bytes are no request\r\n\r\n";
 const connect = "CONNECT a:443 HTTP/1.1\r\nHost: a:443\r\n\r\n";
 const upgrade = "Connection: upgrade\r\nUpgrade: websocket\r\n";
@@ -98,6 +99,46 @@
     assert.equal(result, { responses: [...both, "500"], ran: both });
 });
 
+// Guards against a last response that is cut because its caller goes on sending.
+test("the last response arrives whole while its caller goes on sending", () =>
+    withServer(
+        () => Promise.resolve({ status: 200, headers: [], body: Buffer.alloc(largeBytes) }),
+        async ({ port }) => {
+            const socket = createConnection({ host: "127.0.0.1", port });
+            let receivedBytes = 0;
+            let error: Error | undefined;
+            socket.on("error", reason => error = reason);
+            const ended = new Promise(resolve => socket.on("end", resolve));
+            const closed = new Promise(resolve => socket.on("close", resolve));
+            socket.write(safe("1", closing));
+            for (let sent = 0; sent < 8; sent++) {
+                socket.write(safe("2").repeat(10_000));
+                await delay(20);
+            }
+            socket.on("data", data => receivedBytes += data.length);
+            await Promise.race([ended, closed]);
+            assert.is(error, undefined);
+            assert.ok(receivedBytes > largeBytes, `${receivedBytes}`);
+            await closed;
+        },
+    ));
+
+// Guards against connections that stay open because their callers do not close them.
+test("a connection is closed a second after its last response, although its caller goes on sending", () =>
+    withServer(echo, async ({ port }) => {
+        const socket = createConnection({ host: "127.0.0.1", port, allowHalfOpen: true });
+        socket.on("error", () => {});
+        socket.resume();
+        let isClosed = false;
+        const closed = new Promise<void>(resolve => socket.on("close", () => resolve()));
+        void closed.then(() => isClosed = true);
+        const startedMs = performance.now();
+        for (socket.write(safe("1", closing)); !isClosed; await delay(20)) {
+            socket.write(notHttp);
+        }
+        assert.ok(performance.now() - startedMs < 2_000);
+    }));
+
 // Guards against a caller that has left although servers work for it: its end cannot be told from a close.
 test("the end of a caller's direction cancels its requests, whatever it sent behind them", async () => {
     for (const rest of ["", "GET /x HTT", notHttp]) {
--- a/packages/gateway/src/lib/http/request-sequence.ts
+++ b/packages/gateway/src/lib/http/request-sequence.ts
@@ -56,15 +56,10 @@
         return this.#exchanges.length === 0;
     }
 
-    /** Whether the body of a request has not arrived completely. */
-    get hasUnreadBody(): boolean {
-        const last = this.#exchanges.at(-1);
-        return last !== undefined && !last.incoming.complete;
-    }
-
     /** The body that is arriving; undefined if the next bytes are a header, or nobody reads the body. */
     get arrivingBody(): RequestBody | undefined {
-        return this.hasUnreadBody ? this.#exchanges.at(-1)?.body : undefined;
+        const last = this.#exchanges.at(-1);
+        return last?.incoming.complete === false ? last.body : undefined;
     }
 
     /** Bytes that the parser may get: none while a request runs behind which none may run, so that few are read ahead. */
