Answer what runs on a busy connection that makes room for a new one

Callers saw: with as many connections as an instance takes, all busy, a new one closed the busiest: up to four requests that ran on it had no answer, among them ones that must not be repeated.

Cause: a connection that made room was destroyed, also with requests in progress.

Change: such a connection retires. Nothing further is read from it, a body that has begun excepted, and the last of its requests that run closes it, as at a stop. The new connection is taken meanwhile; a sixteenth of the connections, at least one, is set aside for those that retire, and when these are taken the new one is reset. The choice of the connection is code of its own.

--- a/packages/gateway/src/lib/http/caller-bounds.ts
+++ b/packages/gateway/src/lib/http/caller-bounds.ts
@@ -1,4 +1,5 @@
 /** Bounds on what all callers of a process together may take, from the limits of its machine. */
+import { maxRetiringOf } from "./connection-eviction.js";
 
 const megabyte = 1_048_576;
 /** Memory of the program and its state; what is left holds buffers and garbage. */
@@ -56,18 +57,23 @@
  * Returns the bounds for a process.
  *
  * @example
- * callerBoundsOf({ memoryMb: 250, heapMb: 160, maxDescriptors: 4_100 }); // 1,300 connections, 97 MB, 78 MB of the heap
+ * callerBoundsOf({ memoryMb: 250, heapMb: 160, maxDescriptors: 4_100 }); // 1,219 connections, 97 MB, 78 MB of the heap
  */
 export const callerBoundsOf = ({ memoryMb, heapMb = memoryMb, maxDescriptors }: ProcessLimits): CallerBounds => {
     const freeMb = Math.max(minMemoryMb, memoryMb - programMb);
     const freeHeapMb = Math.max(minHeapMb, heapMb - programHeapMb);
     const maxOtherConnections = otherConnectionsOf(maxDescriptors);
-    const reserved = ownDescriptors + Object.values(maxOtherConnections).reduce((sum, count) => sum + count, 0);
+    const otherDescriptors = Object.values(maxOtherConnections).reduce(
+        (sum, count) => sum + count + maxRetiringOf(count),
+        0,
+    );
+    const reserved = ownDescriptors + otherDescriptors;
     const descriptors = maxDescriptors === undefined ? Infinity : maxDescriptors - reserved;
     const maxEarlyRequests = Math.floor(Math.min(freeMb, descriptors * earlyShare));
     // Each connection has one request whose turn it is, which takes a descriptor for its upstream.
     const byDescriptors = (descriptors - maxEarlyRequests) / 2;
-    const maxConnections = Math.max(minConnections, Math.floor(Math.min(freeMb * connectionsPerMb, byDescriptors)));
+    const mostConnections = Math.max(minConnections, Math.floor(Math.min(freeMb * connectionsPerMb, byDescriptors)));
+    const maxConnections = mostConnections - maxRetiringOf(mostConnections);
     return {
         maxConnections,
         maxEarlyRequests: Math.max(0, maxEarlyRequests),
--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -6,6 +6,9 @@
 import type { MemoryBudget } from "../request/memory-budget.js";
 import { CallerConnection } from "./caller-connection.js";
 import type { CallerRejection } from "./caller-rejections.js";
+import { evictionCandidateOf, isReadingEnded } from "./caller-session.js";
+import type { CallerSession } from "./caller-session.js";
+import { connectionToEvict, maxRetiringOf } from "./connection-eviction.js";
 import { callerRejectionOf } from "./connection-rejections.js";
 import type { ConnectionRejection } from "./connection-rejections.js";
 import { pieceBytes } from "./request-body.js";
@@ -14,8 +17,6 @@
 import type { TurnBudget } from "./turn-budget.js";
 import { UnfinishedMeter } from "./unfinished-meter.js";
 
-/** Time for which a connection without a request in progress must have been idle to make room for a new one. */
-const idleBeforeEvictionMs = 1_000;
 /** Share of the connections from which they count as scarce. */
 const crowdedShare = 0.75;
 /** Time for which a caller may take nothing of a response while there is room, and while memory or connections are scarce. */
@@ -25,7 +26,7 @@
 const connectionNativeBytes = 24_576;
 /** Bytes that take as long to parse as a request takes to be handled. */
 const requestWorkBytes = 4_096;
-/** Work in a second from which a connection may be closed to make room, although requests are in progress on it. */
+/** Work in a second from which a connection may be retired to make room, although requests are in progress on it. */
 const busyBytes = 16 * requestWorkBytes;
 const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n";
 
@@ -38,20 +39,6 @@
     readonly maxUnreadBytes: number;
 }
 
-/** A connection with its requests. */
-interface CallerSession<E extends Exchange> {
-    readonly connection: CallerConnection;
-    readonly sequence: RequestSequence<E>;
-    /** Counts the header or the trailers that are being read. */
-    readonly meter: UnfinishedMeter;
-    /** Why nothing behind the requests that were read is parsed; the rejection follows their responses. */
-    rejection: ConnectionRejection | undefined;
-    /** Whether a request was read from it. */
-    hasRequested: boolean;
-    /** Monotonic time since when no request is in progress. */
-    idleSinceMs: number;
-}
-
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions<E extends Exchange> {
     readonly clock: Clock;
@@ -81,6 +68,7 @@
     /** In the order in which they were opened. */
     readonly #sessions = new Map<CallerConnection, CallerSession<E>>();
     #earlyCount = 0;
+    #retiredCount = 0;
 
     constructor(options: CallerConnectionsOptions<E>) {
         this.#options = options;
@@ -93,20 +81,15 @@
 
     /** Takes a new connection, or closes it if there are too many that count more. */
     add(socket: Socket): void {
-        const { clock, bounds, budget, turns, limits, run, attach, reject, isLeaving } = this.#options;
-        if (this.#sessions.size >= bounds.maxConnections) {
-            reject("connections");
-            const evicted = this.#connectionToEvict();
-            if (evicted === undefined) {
-                socket.resetAndDestroy();
-                return;
-            }
-            evicted.connection.destroy();
-            this.#sessions.delete(evicted.connection);
+        const { clock, bounds, budget, turns, limits, run, attach, isLeaving } = this.#options;
+        if (this.#sessions.size - this.#retiredCount >= bounds.maxConnections && !this.#makeRoom()) {
+            socket.resetAndDestroy();
+            return;
         }
         const sequence = new RequestSequence<E>(run, {
             tryTake: () => {
-                const isFree = this.#earlyCount < bounds.maxEarlyRequests && !budget.isScarce && !isLeaving();
+                const isEnding = session.isRetired || isLeaving();
+                const isFree = this.#earlyCount < bounds.maxEarlyRequests && !budget.isScarce && !isEnding;
                 this.#earlyCount += isFree ? 1 : 0;
                 return isFree;
             },
@@ -117,7 +100,7 @@
         const connection = new CallerConnection(socket, {
             clock,
             turns,
-            allowedBytes: () => session.rejection === undefined ? sequence.allowedBytes : 0,
+            allowedBytes: () => isReadingEnded(session) ? 0 : sequence.allowedBytes,
             admit: sizeBytes => this.#admit(session, sizeBytes),
             countPending: changeBytes => budget.countPending(changeBytes),
             isPendingHigh: () => budget.isPendingHigh,
@@ -135,12 +118,14 @@
             sequence,
             meter,
             rejection: undefined,
+            isRetired: false,
             hasRequested: false,
             idleSinceMs: clock.monotonicMs(),
         };
         this.#sessions.set(connection, session);
         connection.on("close", () => {
             this.#sessions.delete(connection);
+            this.#retiredCount -= session.isRetired ? 1 : 0;
             sequence.close();
             meter.close();
             memory.close();
@@ -200,11 +185,13 @@
         this.#sessions.get(connection)?.meter.reset();
     }
 
-    /** Resolves when it is a request's turn to be answered; with whether no request runs behind it. */
+    /** Resolves when it is a request's turn to be answered; with whether its response ends the connection. */
     async waitForTurn(exchange: E): Promise<{ readonly isLast: boolean; }> {
-        const sequence = this.#sessions.get(exchange.connection)?.sequence;
-        await sequence?.turnOf(exchange);
-        return { isLast: sequence?.isLastRunning ?? true };
+        const session = this.#sessions.get(exchange.connection);
+        await session?.sequence.turnOf(exchange);
+        const isEnding = session?.isRetired === true || this.#options.isLeaving();
+        // The requests behind it that run are answered, and only the last response closes the connection.
+        return { isLast: isEnding && (session?.sequence.isLastRunning ?? true) };
     }
 
     /** Closes connections that are late with a header or do not take a response. Call it a few times a second. */
@@ -284,6 +271,11 @@
             connection.expectHeader();
             this.#rejectIfIdle(session);
         }
+        if (session.isRetired && !sequence.isRunning) {
+            connection.destroySoon();
+            sequence.close();
+            return;
+        }
         if (sequence.hasWaiting) {
             // Requests that are answered at once would otherwise follow each other within one turn of the event loop.
             connection.runInTurn(() => {
@@ -313,26 +305,26 @@
         }
     }
 
-    /**
-     * The oldest connection that sent no request yet or has its last response, or else the one that has been idle longest, or else the one with
-     * the most requests lately, if they are many.
-     */
-    #connectionToEvict(): CallerSession<E> | undefined {
-        const idleBeforeMs = this.#options.clock.monotonicMs() - idleBeforeEvictionMs;
-        let longestIdle: CallerSession<E> | undefined;
-        let busiest: CallerSession<E> | undefined;
-        for (const session of this.#sessions.values()) {
-            if (!session.hasRequested || session.connection.isLingering) {
-                return session;
-            }
-            const isLonger = session.idleSinceMs < (longestIdle?.idleSinceMs ?? Infinity);
-            if (session.sequence.isIdle && session.idleSinceMs <= idleBeforeMs && isLonger) {
-                longestIdle = session;
-            }
-            if (session.connection.chargedBytes > (busiest?.connection.chargedBytes ?? busyBytes)) {
-                busiest = session;
-            }
+    /** Makes room for a new connection, if one of the others counts less. */
+    #makeRoom(): boolean {
+        const { clock, bounds, reject } = this.#options;
+        reject("connections");
+        const session = connectionToEvict(this.#sessions.values(), evictionCandidateOf, {
+            nowMs: clock.monotonicMs(),
+            busyBytes,
+            mayRetire: this.#retiredCount < maxRetiringOf(bounds.maxConnections),
+        });
+        if (session === undefined) {
+            return false;
+        }
+        if (session.sequence.isIdle) {
+            this.#sessions.delete(session.connection);
+            session.connection.destroy();
+            return true;
         }
-        return longestIdle ?? busiest;
+        // The requests that run on it are answered.
+        session.isRetired = true;
+        this.#retiredCount++;
+        return true;
     }
 }
--- a/packages/gateway/src/lib/http/caller-server.fixture.ts
+++ b/packages/gateway/src/lib/http/caller-server.fixture.ts
@@ -30,6 +30,7 @@
 export const withServer = async (
     handle: (received: ReceivedRequest) => Promise<HttpResponse | undefined>,
     run: (setup: Setup) => Promise<void>,
+    maxConnections?: number,
 ): Promise<void> => {
     const port = await freePort();
     const flags = { isLeaving: false };
@@ -50,7 +51,7 @@
             },
         },
         limits: () => limits,
-        bounds,
+        bounds: { ...bounds, maxConnections: maxConnections ?? bounds.maxConnections },
         budget: new MemoryBudget({ clock: systemClock, maxBytes: bounds.maxBufferedBytes, upstreamBytes: () => 0 }),
         turns: new TurnBudget({ clock: systemClock, nextTurn: task => void setImmediate(task) }),
         rejections: new CallerRejections({ clock: systemClock, log, onRejection: () => {} }),
--- a/packages/gateway/src/lib/http/caller-server.ts
+++ b/packages/gateway/src/lib/http/caller-server.ts
@@ -274,7 +274,7 @@
 
     async #write(exchange: CallerExchange, response: HttpResponse, mustClose: boolean): Promise<void> {
         const { outgoing, owner, disconnected } = exchange;
-        const { budget, isLeaving } = this.#options;
+        const { budget } = this.#options;
         const { connections } = this.#server;
         const release = budget.hold(response.body.length, owner);
         onEnd(exchange, () => {
@@ -282,8 +282,7 @@
             freeBody(response.body);
             release();
         });
-        // The requests behind it that run are answered, and only the last response closes the connection.
-        const { isLast: isLastRunning } = await connections.waitForTurn(exchange);
+        const { isLast: isEnding } = await connections.waitForTurn(exchange);
         if (disconnected.signal.aborted) {
             return;
         }
@@ -291,7 +290,7 @@
         const hasBody = !bodilessStatuses.has(response.status);
         // A length lets the caller detect an early end, whatever ends the connection.
         const lengthHeader: [string, string][] = hasBody ? [["content-length", String(response.body.length)]] : [];
-        const isLast = mustClose || exchange.mustClose || isLeaving() && isLastRunning;
+        const isLast = mustClose || exchange.mustClose || isEnding;
         const closeHeader: [string, string][] = isLast ? [["connection", "close"]] : [];
         outgoing.writeHead(response.status, [...headers, ...lengthHeader, ...closeHeader].flat());
         outgoing.end(hasBody ? response.body : undefined);
--- a/packages/gateway/src/lib/http/connection-ends.test.ts
+++ b/packages/gateway/src/lib/http/connection-ends.test.ts
@@ -4,7 +4,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { ReceivedRequest } from "../request/request-handler.js";
-import { echo, withServer } from "./caller-server.fixture.js";
+import { echo, exchange, get, withServer } from "./caller-server.fixture.js";
 
 const workMs = 60;
 const delay = (timeMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, timeMs));
@@ -139,6 +139,31 @@
         assert.ok(performance.now() - startedMs < 2_000);
     }));
 
+// Guards against requests that run and lose their answers when their connection makes room for others.
+test("a busy connection that makes room answers what runs on it, and the new one is served meanwhile", async () => {
+    const ran: string[] = [];
+    await withServer(async request => {
+        const { target } = request.request;
+        if (target.startsWith("/safe/slow")) {
+            ran.push(target);
+            await delay(150);
+        }
+        return echo(request);
+    }, async ({ port, server }) => {
+        const fast = Array.from({ length: 20 }, (_, number) => safe(`${number}`)).join("");
+        const slow = Array.from({ length: 6 }, (_, number) => safe(`slow${number}`)).join("");
+        const busy = exchange(port, fast + slow);
+        while (ran.length < 4) {
+            await delay(5);
+        }
+        assert.match(await exchange(port, get("/new")), /GET \/new/);
+        assert.is(server.activeRequestCount, 4);
+        const responses = responsesIn(await busy);
+        assert.is(ran.length, 4);
+        assert.equal(responses.slice(20), ran);
+    }, 1);
+});
+
 // Guards against a caller that has left although servers work for it: its end cannot be told from a close.
 test("the end of a caller's direction cancels its requests, whatever it sent behind them", async () => {
     for (const rest of ["", "GET /x HTT", notHttp]) {
--- a/packages/gateway/src/lib/http/request-sequence.ts
+++ b/packages/gateway/src/lib/http/request-sequence.ts
@@ -88,6 +88,10 @@
             : new Promise(resolve => this.#turnListeners.set(exchange, resolve));
     }
 
+    get isRunning(): boolean {
+        return this.#runningCount > 0;
+    }
+
     /** Whether no request runs behind the first one. */
     get isLastRunning(): boolean {
         return this.#runningCount <= 1;
