Close behind an Upgrade also where its header ends in a short piece

Callers saw: the last bytes of a header with an Upgrade arrive in a piece of three bytes with the first byte of the next request: that byte is dropped, and the rest waits for the idle timeout on a connection that was kept.

Change: the search has to find the end. The functions for pieces of bytes have a file of their own. A connection that ends already is not ended once more. The tests of the file also check that connections are closed, not idle.

--- a/packages/gateway/src/lib/http/caller-connection.ts
+++ b/packages/gateway/src/lib/http/caller-connection.ts
@@ -2,6 +2,7 @@
 import type { Clock, Timer } from "@sniperoad/core";
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
+import { endsWithEmptyLine, partsOf } from "./byte-pieces.js";
 import type { TurnBudget } from "./turn-budget.js";
 
 /** Bytes that wait for the parser, above which the socket is not read. A read adds up to 64 kB to them. */
@@ -10,8 +11,6 @@
 const bytesPerTurn = 4_096;
 /** Time after which a connection counts again as one that has used nothing. */
 const usedIntervalMs = 1_000;
-/** Size of the parts in which a response is written, so that it shows whether the caller takes it. */
-const partBytes = 65_536;
 /**
  * Bytes and time for which what follows the last request is read and dropped: if some of it were unread, closing would
  * reset the connection, and the response on the way would be lost.
@@ -19,8 +18,6 @@
 const maxDiscardedBytes = 1_048_576;
 const lingerMs = 1_000;
 
-const headerEnd = "\r\n\r\n";
-
 /** Options of {@link CallerConnection}. */
 export interface CallerConnectionOptions {
     readonly clock: Pick<Clock, "monotonicMs" | "after">;
@@ -139,7 +136,7 @@
             passedBytes += sizeBytes;
             this.#usedInIntervalBytes += sizeBytes;
             const piece = this.#take(sizeBytes);
-            this.#isAtHeaderEnd = piece.indexOf(headerEnd) === piece.length - headerEnd.length;
+            this.#isAtHeaderEnd = endsWithEmptyLine(piece);
             this.#isReadWanted = this.push(piece);
         }
         this.#isPumping = false;
@@ -184,6 +181,9 @@
 
     /** Ends the connection after what was written; called by the HTTP server after the last response. */
     destroySoon(): void {
+        if (this.#isDiscarding) {
+            return;
+        }
         this.#isDiscarding = true;
         this.#dropPending();
         this.end(() => this.#linger());
@@ -337,14 +337,3 @@
         this.#socket.uncork();
     }
 }
-
-const partsOf = (chunk: Buffer): readonly Buffer[] => {
-    if (chunk.length <= partBytes) {
-        return [chunk];
-    }
-    const parts: Buffer[] = [];
-    for (let start = 0; start < chunk.length; start += partBytes) {
-        parts.push(chunk.subarray(start, start + partBytes));
-    }
-    return parts;
-};
--- a/packages/gateway/src/lib/http/caller-rejections.ts
+++ b/packages/gateway/src/lib/http/caller-rejections.ts
@@ -6,8 +6,8 @@
 
 /**
  * Why a caller was rejected: `memory`, no memory for a header, a body or a response; `header`, a header that is far too
- * long; `malformed`, bytes that are no request, or a `CONNECT`; `connections`, too many connections; `stalled-body`, a body that does not
- * arrive; `unread-response`, a response that is not read.
+ * long; `malformed`, bytes that are no request, or a `CONNECT`; `connections`, too many connections; `stalled-body`, a
+ * body that does not arrive; `unread-response`, a response that is not read.
  */
 export type CallerRejection = "memory" | "header" | "malformed" | "connections" | "stalled-body" | "unread-response";
 
--- a/packages/gateway/src/lib/http/connection-ends.test.ts
+++ b/packages/gateway/src/lib/http/connection-ends.test.ts
@@ -4,7 +4,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { ReceivedRequest } from "../request/request-handler.js";
-import { echo, exchange, get, withServer } from "./caller-server.fixture.js";
+import { echo, exchange, get, limits, withServer } from "./caller-server.fixture.js";
 
 const workMs = 60;
 const delay = (timeMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, timeMs));
@@ -23,12 +23,15 @@
     readonly responses: readonly string[];
     /** Requests that were passed on. */
     readonly ran: readonly string[];
+    /** Whether the connection was closed, and did not end because it was idle. */
+    readonly wasClosed: boolean;
 }
 
 /** Sends pieces one after the other, each 15 ms after the one before, until the connection ends. */
 const play = async (pieces: readonly string[], answer: Answer = echo): Promise<Play> => {
     const ran: string[] = [];
     let received = "";
+    const startMs = performance.now();
     await withServer(async request => {
         const { target } = request.request;
         ran.push(target);
@@ -45,7 +48,8 @@
         }
         await closed;
     });
-    return { responses: responsesIn(received), ran };
+    const wasClosed = performance.now() - startMs < limits.idleTimeoutMs;
+    return { responses: responsesIn(received), ran, wasClosed };
 };
 
 const both = ["/safe/1", "/safe/2"];
@@ -66,14 +70,15 @@
         ["CONNECT, in the same piece", [safe("1") + safe("2") + connect + safe("3")], [...both, "501"]],
         ["a request without a host", [safe("1") + "GET /safe/2 HTTP/1.1\r\n\r\n" + safe("3")], ["/safe/1", "400"]],
         ["an upgrade", [safe("1") + safe("u", upgrade) + safe("2"), safe("3")], ["/safe/1", "/safe/u"]],
+        ["a byte behind an upgrade", [safe("u", upgrade).slice(0, -2), "\r\nG", safe("2").slice(1)], ["/safe/u"]],
         ["what follows an upgrade later", [safe("u", upgrade), safe("2", closing)], ["/safe/u", "/safe/2"]],
         ["bytes behind a request that closes", [safe("1") + safe("2", closing), safe("3")], both],
     ] as const
 ) {
     test(`requests in progress are answered before ${name}`, async () => {
         const result = await play(pieces);
-        assert.equal(result.responses, responses);
-        assert.equal(result.ran, responses.filter(response => response.startsWith("/")));
+        const ran = responses.filter(response => response.startsWith("/"));
+        assert.equal(result, { responses, ran, wasClosed: true });
     });
 }
 
@@ -96,7 +101,7 @@
 // Guards against a request that cannot be taken, and ends those before it.
 test("requests in progress are answered before one that cannot be taken", async () => {
     const result = await play([safe("1") + safe("2") + safe("undecodable") + safe("3"), safe("4")]);
-    assert.equal(result, { responses: [...both, "500"], ran: both });
+    assert.equal(result, { responses: [...both, "500"], ran: both, wasClosed: true });
 });
 
 // Guards against a last response that is cut because its caller goes on sending.
