--- a/packages/gateway/src/lib/http/caller-connections.ts
+++ b/packages/gateway/src/lib/http/caller-connections.ts
@@ -143,7 +143,7 @@
     receive(exchange: E): void {
         const { connection, outgoing } = exchange;
         const session = this.#sessions.get(connection);
-        if (session?.rejection !== undefined || session === undefined) {
+        if (session === undefined || session.rejection !== undefined) {
             exchange.body?.close();
             exchange.disconnected.abort();
             return;
