--- a/review/stand-ins-3/fleet.mjs
+++ b/review/stand-ins-3/fleet.mjs
@@ -10,6 +10,14 @@
 /** Time after which a case is given up; scripts run for 120 s at most. */
 const maxRunMs = 115_000;
 
+// An error of the script itself is no broken rule; Node.js would exit with 1.
+["uncaughtException", "unhandledRejection"].forEach(event =>
+    process.on(event, error => {
+        console.error(error);
+        process.exit(2);
+    })
+);
+
 export const root = fileURLToPath(new URL("../../", import.meta.url));
 export const pause = ms => new Promise(resolve => setTimeout(resolve, ms));
 
